Serve a request end to end: routers, platform, targets and callers over real sockets

A request is admitted against a prepaid budget, recorded at witnesses, routed, relayed whole and billed once. Not covered yet: tests, replay under failure, measurements.

--- /dev/null
+++ b/packages/callers/src/caller-edge.ts
@@ -0,0 +1,150 @@
+import * as decisions from '@acaciaweir/decisions'
+import * as runtime from '@acaciaweir/runtime'
+import type * as http from 'node:http'
+import * as sinks from './answer-sinks.js'
+import * as parser from './call-parser.js'
+import type * as types from './caller-types.js'
+import * as problems from './problem-response.js'
+
+/** Largest body of a call, in bytes. */
+const BODY_LIMIT_BYTES = 4 * 1024 * 1024
+
+/** Receives the callers' HTTP requests and answers them through a handler. */
+export class CallerEdge {
+  readonly #handler: types.CallHandler
+  readonly #logger: runtime.logging.Logger
+  readonly #server = new runtime.httpServer.HttpServer((request, response) => this.#receive(request, response))
+
+  constructor (handler: types.CallHandler, logger: runtime.logging.Logger) {
+    this.#handler = handler
+    this.#logger = logger
+  }
+
+  /** Listens and returns the port; port 0 takes a free one. */
+  listen (port: number, address: string): Promise<number> {
+    return this.#server.listen(port, address)
+  }
+
+  /** Takes no new connections and resolves when all answers have ended. */
+  close (): Promise<void> {
+    return this.#server.close()
+  }
+
+  /** Cuts all connections. */
+  closeNow (): void {
+    this.#server.closeNow()
+  }
+
+  async #receive (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    try {
+      await this.#route(request, response)
+    } catch (error) {
+      const problem = problems.toProblem(error)
+      this.#logger.info({ event: 'refused', ...problem, path: request.url })
+      if (response.headersSent || response.destroyed) response.destroy()
+      else problems.sendProblem(response, problem)
+    }
+  }
+
+  async #route (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://router')
+    if (url.pathname === '/healthz') { runtime.httpServer.sendJson(response, 200, { alive: true }); return }
+    if (url.pathname === '/readyz') { this.#answerReadiness(response); return }
+    const body = await readCallBody(request)
+    const caller = this.#authenticate(request)
+    if (url.pathname === '/v1/entry-hosts') { runtime.httpServer.sendJson(response, 200, this.#handler.entryHosts(caller)); return }
+    const gone = goneSignal(response)
+    if (url.pathname === '/v1/chat/completions' && request.method === 'POST') {
+      await this.#serveModel(parser.parseEnvelope(request, caller, gone), body, response)
+      return
+    }
+    if (url.pathname.startsWith('/v1/streams/')) { await this.#resume(url, caller, gone, response); return }
+    if (url.pathname.startsWith('/services/')) {
+      await this.#serveService(parser.parseEnvelope(request, caller, gone), request, url, body, response)
+      return
+    }
+    throw notFound(url.pathname)
+  }
+
+  #answerReadiness (response: http.ServerResponse): void {
+    const reason = this.#handler.notReadyReason()
+    runtime.httpServer.sendJson(response, reason === undefined ? 200 : 503, { ready: reason === undefined, reason })
+  }
+
+  #authenticate (request: http.IncomingMessage): types.Caller {
+    const notReady = this.#handler.notReadyReason()
+    if (notReady !== undefined) {
+      throw new decisions.problem.ProblemError({ tag: 'not_ready', step: 'authenticate', peer: decisions.problem.Peer.self, detail: notReady })
+    }
+    const key = parser.bearerKey(request)
+    const caller = key === undefined ? undefined : this.#handler.authenticate(key)
+    if (caller === undefined) throw new decisions.problem.ProblemError({ tag: 'unauthorized', step: 'authenticate', peer: decisions.problem.Peer.caller })
+    return caller
+  }
+
+  async #serveModel (envelope: types.CallEnvelope, text: string, response: http.ServerResponse): Promise<void> {
+    const parsed = parser.parseModelBody(text)
+    const call = { ...envelope, ...parsed }
+    if (!parsed.stream) {
+      await this.#handler.serveModel(call, new sinks.WholeSink(response))
+      return
+    }
+    const sink = new sinks.StreamSink(response, 0)
+    await failOpenStream(sink, this.#handler.serveModel(call, sink))
+  }
+
+  async #resume (url: URL, caller: types.Caller, gone: AbortSignal, response: http.ServerResponse): Promise<void> {
+    const [target, requestId] = url.pathname.replace('/v1/streams/', '').split('/').map(decodeURIComponent)
+    const offset = Number(url.searchParams.get('offset') ?? 0)
+    if (requestId === undefined || !Number.isInteger(offset) || offset < 0) throw parser.badRequest('a stream is named by target and request, with a whole offset')
+    const sink = new sinks.StreamSink(response, offset)
+    await failOpenStream(sink, this.#handler.resumeStream({ caller, target, requestId, offset, gone }, sink))
+  }
+
+  async #serveService (envelope: types.CallEnvelope, request: http.IncomingMessage, url: URL, body: string, response: http.ServerResponse): Promise<void> {
+    const [service, ...rest] = url.pathname.replace('/services/', '').split('/')
+    const outcome = await this.#handler.serveService({
+      ...envelope,
+      service: decodeURIComponent(service),
+      method: request.method ?? 'GET',
+      path: '/' + rest.join('/') + url.search,
+      contentType: parser.headerText(request, 'content-type') ?? 'application/json',
+      body
+    })
+    response.writeHead(outcome.status, {
+      'content-type': outcome.contentType,
+      'content-length': Buffer.byteLength(outcome.body),
+      'acaciaweir-request-id': outcome.requestId
+    })
+    response.end(outcome.body)
+  }
+}
+
+async function failOpenStream (sink: sinks.StreamSink, serving: Promise<void>): Promise<void> {
+  try {
+    await serving
+  } catch (error) {
+    if (!sink.begun) throw error
+    sink.fail(error)
+  }
+}
+
+async function readCallBody (request: http.IncomingMessage): Promise<string> {
+  try {
+    return await runtime.httpCall.readBody(request, BODY_LIMIT_BYTES)
+  } catch (error) {
+    throw parser.badRequest((error as Error).message)
+  }
+}
+
+function goneSignal (response: http.ServerResponse): AbortSignal {
+  const controller = new AbortController()
+  response.on('close', () => {
+    if (!response.writableFinished) controller.abort()
+  })
+  return controller.signal
+}
+
+function notFound (path: string): decisions.problem.ProblemError {
+  return new decisions.problem.ProblemError({ tag: 'not_found', step: 'route', peer: decisions.problem.Peer.caller, detail: path })
+}
--- /dev/null
+++ b/packages/callers/src/problem-response.ts
@@ -0,0 +1,59 @@
+import * as decisions from '@acaciaweir/decisions'
+import type * as http from 'node:http'
+
+/** The body of a refusal, as application/problem+json. */
+export interface ProblemBody {
+  type: string
+  title: string
+  status: number
+  detail?: string
+  step: string
+  peer: string
+  /** Whether the request ran: no, yes or unknown. */
+  ran: decisions.problem.Ran
+  retryAfterSeconds?: number
+  /** The same facts where the callers' client libraries look for them. */
+  error: { message: string, type: string, code: string }
+}
+
+/** Describes a problem for a caller. */
+export function problemBody (problem: decisions.problem.Problem): ProblemBody {
+  const kind = decisions.problem.describeProblem(problem.tag)
+  return {
+    type: `urn:acaciaweir:problem:${problem.tag}`,
+    title: kind.title,
+    status: kind.status,
+    detail: problem.detail,
+    step: problem.step,
+    peer: problem.peer,
+    ran: kind.ran,
+    retryAfterSeconds: kind.retryAfterSeconds,
+    error: { message: kind.title, type: problem.tag, code: problem.tag }
+  }
+}
+
+/** Answers with a problem. */
+export function sendProblem (response: http.ServerResponse, problem: decisions.problem.Problem): void {
+  const body = problemBody(problem)
+  const text = JSON.stringify(body)
+  response.writeHead(body.status, problemHeaders(body, text))
+  response.end(text)
+}
+
+function problemHeaders (body: ProblemBody, text: string): Record<string, string | number> {
+  const headers: Record<string, string | number> = {
+    'content-type': 'application/problem+json',
+    'content-length': Buffer.byteLength(text),
+    'acaciaweir-ran': body.ran
+  }
+  if (body.retryAfterSeconds !== undefined) headers['retry-after'] = body.retryAfterSeconds
+  // The callers' client libraries must not repeat a request whose outcome they cannot judge.
+  if (body.ran !== 'no') headers['x-should-retry'] = 'false'
+  return headers
+}
+
+/** Turns anything thrown into a problem. */
+export function toProblem (error: unknown): decisions.problem.Problem {
+  if (error instanceof decisions.problem.ProblemError) return error.problem
+  return { tag: 'outcome_unknown', step: 'serve', peer: decisions.problem.Peer.self, detail: (error as Error).message }
+}
--- /dev/null
+++ b/packages/command-line/src/index.ts
@@ -0,0 +1,1 @@
+export * as spendReport from './spend-report.js'
--- /dev/null
+++ b/packages/operators/src/index.ts
@@ -0,0 +1,2 @@
+export * as manifest from './manifest.js'
+export * as configurationStore from './configuration-store.js'
--- /dev/null
+++ b/packages/router-daemon/src/admitted-request.ts
@@ -0,0 +1,120 @@
+import * as decisions from '@acaciaweir/decisions'
+import type * as callers from '@acaciaweir/callers'
+import type * as incarnations from './incarnation.js'
+import * as ledgers from './ledger.js'
+import * as logs from './record-log.js'
+
+/** Limits of waiting during admission and at the end, in milliseconds. */
+export interface AdmissionLimits {
+  budgetWaitMs: number
+  durabilityWaitMs: number
+  requestTimeoutMs: number
+}
+
+/** What is asked of a budget for one request. */
+export interface AdmissionQuestion {
+  envelope: callers.callerTypes.CallEnvelope
+  budget: string
+  /** The most that the request may cost. */
+  tokens: number
+  /** The prompt's part of it. */
+  promptTokens: number
+}
+
+/**
+ * A request with a reservation. Follows it through the records:
+ * opened before each dispatch, then closed once, by a bill or as not run.
+ */
+export class AdmittedRequest {
+  readonly requestId: string
+  readonly incarnation: incarnations.Incarnation
+  readonly #question: AdmissionQuestion
+  readonly #limits: AdmissionLimits
+  readonly #key: string
+  readonly #onClosed: () => void
+  #opened = false
+  #closed = false
+  #target = ''
+
+  constructor (requestId: string, incarnation: incarnations.Incarnation, question: AdmissionQuestion, limits: AdmissionLimits, onClosed: () => void) {
+    this.requestId = requestId
+    this.incarnation = incarnation
+    this.#question = question
+    this.#limits = limits
+    this.#key = question.envelope.key ?? requestId
+    this.#onClosed = onClosed
+  }
+
+  get target (): string {
+    return this.#target
+  }
+
+  get closed (): boolean {
+    return this.#closed
+  }
+
+  /** Records that the request is about to go to a target. Throws ProblemError, and then nothing may be sent. */
+  async open (target: string): Promise<void> {
+    this.#target = target
+    this.#opened = true
+    const sequence = this.incarnation.log.append({ kind: 'open', intent: this.intent() })
+    const durability = await this.incarnation.log.durable(sequence, this.#limits.durabilityWaitMs)
+    if (durability === logs.Durability.durable) return
+    throw new decisions.problem.ProblemError({ tag: 'not_durable', step: 'record dispatch', peer: decisions.problem.Peer.router, detail: durability })
+  }
+
+  /** Ends a request that did not run, and frees its reservation. */
+  closeNotRun (): void {
+    if (this.#closed) return
+    this.#closed = true
+    this.incarnation.ledger.settle(this.requestId, this.#question.budget, 0)
+    if (this.#opened) this.incarnation.log.append({ kind: 'not-run', requestId: this.requestId })
+    this.#onClosed()
+  }
+
+  /** Bills the request and resolves once the bill is durable. Throws ProblemError where it cannot be made durable in time. */
+  async closeBilled (bill: decisions.journalTypes.Bill): Promise<void> {
+    if (this.#closed) return
+    this.#closed = true
+    this.incarnation.ledger.settle(this.requestId, this.#question.budget, bill.promptTokens + bill.completionTokens)
+    const sequence = this.incarnation.log.append({ kind: 'billed', bill })
+    this.#onClosed()
+    const durability = await this.incarnation.log.durable(sequence, this.#limits.requestTimeoutMs)
+    if (durability === logs.Durability.durable) return
+    if (durability === logs.Durability.sealed) { await this.incarnation.log.settleSealed(bill); return }
+    throw new decisions.problem.ProblemError({ tag: 'bill_not_durable', step: 'record bill', peer: decisions.problem.Peer.router })
+  }
+
+  /** The record of a dispatch to the present target. */
+  intent (): decisions.journalTypes.Intent {
+    const { envelope, budget, tokens, promptTokens } = this.#question
+    return {
+      requestId: this.requestId,
+      account: envelope.caller.account,
+      budget,
+      target: this.#target,
+      reservedTokens: tokens,
+      reservedPromptTokens: promptTokens,
+      key: this.#key,
+      repeatable: envelope.repeatable
+    }
+  }
+}
+
+/** Reserves a request's worst case. Throws ProblemError where it does not fit. */
+export async function reserveWorstCase (incarnation: incarnations.Incarnation, requestId: string, question: AdmissionQuestion, waitMs: number): Promise<void> {
+  const outcome = await incarnation.ledger.reserve({
+    key: { budget: question.budget, account: question.envelope.caller.account },
+    requestId,
+    tokens: question.tokens,
+    waitMs
+  })
+  if (outcome === ledgers.ReserveOutcome.reserved) return
+  const exhausted = outcome === ledgers.ReserveOutcome.exhausted
+  throw new decisions.problem.ProblemError({
+    tag: exhausted ? 'budget_exhausted' : 'budget_unreachable',
+    step: 'reserve',
+    peer: exhausted ? decisions.problem.Peer.self : decisions.problem.Peer.platform,
+    detail: `${question.tokens} tokens of budget ${question.budget}`
+  })
+}
--- /dev/null
+++ b/packages/router-daemon/src/index.ts
@@ -0,0 +1,2 @@
+export * as router from './router.js'
+export * as settings from './settings.js'
--- /dev/null
+++ b/packages/routers/src/peer-server.ts
@@ -0,0 +1,40 @@
+import * as grpc from '@grpc/grpc-js'
+import * as definition from './peer-definition.js'
+import type * as handlers from './peer-handler.js'
+import type * as messages from './peer-messages.js'
+
+/** Listens for the calls of other routers. */
+export class PeerServer {
+  readonly #server = new grpc.Server()
+
+  constructor (handler: handlers.PeerHandler) {
+    const names = Object.keys(definition.peersService) as messages.PeerCallName[]
+    const implementation = Object.fromEntries(names.map((name) => [name, answerWith(handler, name)]))
+    this.#server.addService(definition.peersService, implementation)
+  }
+
+  /** Listens and returns the port; port 0 takes a free one. */
+  listen (port: number, address: string): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.#server.bindAsync(`${address}:${port}`, grpc.ServerCredentials.createInsecure(), (error, bound) => {
+        if (error === null) resolve(bound)
+        else reject(error)
+      })
+    })
+  }
+
+  /** Ends all connections. */
+  close (): void {
+    this.#server.forceShutdown()
+  }
+}
+
+function answerWith (handler: handlers.PeerHandler, name: messages.PeerCallName): grpc.UntypedHandleCall {
+  const handle: grpc.handleUnaryCall<object, object> = (call, done) => {
+    handler.answer(name, call.request as never).then(
+      (reply) => { done(null, reply) },
+      (error: Error) => { done({ code: grpc.status.INTERNAL, details: error.message }) }
+    )
+  }
+  return handle as grpc.UntypedHandleCall
+}
--- /dev/null
+++ b/packages/runtime/src/http-server.ts
@@ -0,0 +1,57 @@
+import * as http from 'node:http'
+
+/** An HTTP server that listens, and closes without cutting requests in progress. */
+export class HttpServer {
+  readonly #server: http.Server
+
+  constructor (handler: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>) {
+    this.#server = http.createServer((request, response) => {
+      handler(request, response).catch((error: Error) => { failResponse(response, error) })
+    })
+    this.#server.keepAliveTimeout = 60_000
+  }
+
+  /** Listens and returns the port; port 0 takes a free one. */
+  listen (port: number, address: string): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(port, address, () => {
+        const bound = this.#server.address()
+        resolve(typeof bound === 'object' && bound !== null ? bound.port : port)
+      })
+    })
+  }
+
+  /** Takes no new connections and resolves when all requests in progress have ended. */
+  close (): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.close(() => { resolve() })
+      this.#server.closeIdleConnections()
+    })
+  }
+
+  /** Cuts all connections. */
+  closeNow (): void {
+    this.#server.close()
+    this.#server.closeAllConnections()
+  }
+}
+
+/** Answers with JSON. */
+export function sendJson (response: http.ServerResponse, status: number, body: unknown, headers: Record<string, string> = {}): void {
+  const text = JSON.stringify(body)
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+    ...headers
+  })
+  response.end(text)
+}
+
+function failResponse (response: http.ServerResponse, error: Error): void {
+  if (response.headersSent) {
+    response.destroy()
+    return
+  }
+  sendJson(response, 500, { title: error.message })
+}
--- /dev/null
+++ b/packages/runtime/src/index.ts
@@ -0,0 +1,7 @@
+export * as systemClock from './system-clock.js'
+export * as task from './task.js'
+export * as httpCall from './http-call.js'
+export * as httpServer from './http-server.js'
+export * as sse from './sse.js'
+export * as telemetry from './telemetry.js'
+export * as logging from './logging.js'
--- /dev/null
+++ b/packages/runtime/src/telemetry.ts
@@ -0,0 +1,94 @@
+import * as api from '@opentelemetry/api'
+import * as exporter from '@opentelemetry/exporter-trace-otlp-http'
+import * as resources from '@opentelemetry/resources'
+import * as sdk from '@opentelemetry/sdk-trace-node'
+import * as fs from 'node:fs'
+
+/** Where finished spans go; with neither set, tracing is off. */
+export interface TelemetrySettings {
+  service: string
+  instance: string
+  otlpEndpoint?: string
+  traceFile?: string
+  /** Share of traces kept, from 0 to 1. */
+  sampledShare: number
+}
+
+/** Starts tracing and returns the function that flushes and ends it. */
+export function startTelemetry (settings: TelemetrySettings): () => Promise<void> {
+  const processors = spanProcessors(settings)
+  if (processors.length === 0) return async () => {}
+  const provider = new sdk.NodeTracerProvider({
+    resource: resources.resourceFromAttributes({ 'service.name': settings.service, 'service.instance.id': settings.instance }),
+    sampler: new sdk.ParentBasedSampler({ root: new sdk.TraceIdRatioBasedSampler(settings.sampledShare) }),
+    spanProcessors: processors
+  })
+  provider.register()
+  return () => provider.shutdown()
+}
+
+/** The tracer of the system's own spans. */
+export function tracer (): api.Tracer {
+  return api.trace.getTracer('acaciaweir')
+}
+
+/** A context that continues the trace named by incoming W3C headers. */
+export function contextFromHeaders (headers: Record<string, unknown>): api.Context {
+  return api.propagation.extract(api.context.active(), headers)
+}
+
+/** Headers that carry a span's trace to the next hop. */
+export function headersFromSpan (span: api.Span): Record<string, string> {
+  const headers: Record<string, string> = {}
+  api.propagation.inject(api.trace.setSpan(api.context.active(), span), headers)
+  return headers
+}
+
+/** Starts a span as a child of another, or of a context. */
+export function startSpan (name: string, parent: api.Span | api.Context, attributes: api.Attributes = {}): api.Span {
+  const context = 'spanContext' in parent ? api.trace.setSpan(api.context.active(), parent) : parent
+  return tracer().startSpan(name, { attributes }, context)
+}
+
+function spanProcessors (settings: TelemetrySettings): sdk.SpanProcessor[] {
+  const processors: sdk.SpanProcessor[] = []
+  if (settings.otlpEndpoint !== undefined) {
+    processors.push(new sdk.BatchSpanProcessor(new exporter.OTLPTraceExporter({ url: settings.otlpEndpoint })))
+  }
+  if (settings.traceFile !== undefined) {
+    processors.push(new sdk.BatchSpanProcessor(new LineFileExporter(settings.traceFile)))
+  }
+  return processors
+}
+
+/** Writes each span as one line of JSON. */
+class LineFileExporter implements sdk.SpanExporter {
+  readonly #path: string
+
+  constructor (path: string) {
+    this.#path = path
+  }
+
+  export (spans: sdk.ReadableSpan[], done: (result: { code: number, error?: Error }) => void): void {
+    const lines = spans.map((span) => JSON.stringify(spanLine(span)) + '\n')
+    fs.appendFile(this.#path, lines.join(''), (error) => {
+      done(error === null ? { code: 0 } : { code: 1, error })
+    })
+  }
+
+  async shutdown (): Promise<void> {}
+}
+
+function spanLine (span: sdk.ReadableSpan): Record<string, unknown> {
+  const [seconds, nanoseconds] = span.duration
+  return {
+    trace: span.spanContext().traceId,
+    span: span.spanContext().spanId,
+    parent: span.parentSpanContext?.spanId,
+    name: span.name,
+    service: span.resource.attributes['service.name'],
+    instance: span.resource.attributes['service.instance.id'],
+    durationMs: seconds * 1000 + nanoseconds / 1e6,
+    attributes: span.attributes
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/service-server.ts
@@ -0,0 +1,56 @@
+import * as runtime from '@acaciaweir/runtime'
+import type * as http from 'node:http'
+import * as timers from 'node:timers/promises'
+
+/** One run of a plain service's call; the replay judges by it. */
+export interface ServiceRun {
+  requestId: string
+  tag: string
+  startedAt: number
+}
+
+/** Behaviour of the stand-in service, switched at run time. */
+export interface ServiceOptions {
+  workMs: number
+  /** Runs the call and then drops the connection without an answer. */
+  dropAnswers: boolean
+}
+
+/** The stand-in of a plain service: counts each run, answers with an echo. */
+export class ServiceServer {
+  readonly runs: ServiceRun[] = []
+  readonly options: ServiceOptions
+  readonly #server = new runtime.httpServer.HttpServer((request, response) => this.#handle(request, response))
+
+  constructor (options: Partial<ServiceOptions> = {}) {
+    this.options = { workMs: 5, dropAnswers: false, ...options }
+  }
+
+  listen (port: number, address: string): Promise<number> {
+    return this.#server.listen(port, address)
+  }
+
+  close (): void {
+    this.#server.closeNow()
+  }
+
+  async #handle (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const body = await runtime.httpCall.readBody(request)
+    if (request.url === '/admin/served') { runtime.httpServer.sendJson(response, 200, this.runs); return }
+    if (request.url === '/admin/set') {
+      Object.assign(this.options, JSON.parse(body))
+      runtime.httpServer.sendJson(response, 200, {})
+      return
+    }
+    this.runs.push({ requestId: String(request.headers['x-request-id']), tag: tagOf(body), startedAt: Date.now() })
+    await timers.setTimeout(this.options.workMs)
+    if (this.options.dropAnswers) { response.destroy(); return }
+    runtime.httpServer.sendJson(response, 200, { ok: true, path: request.url, tag: tagOf(body) })
+  }
+}
+
+function tagOf (body: string): string {
+  if (body === '') return ''
+  const parsed = JSON.parse(body) as { tag?: string }
+  return parsed.tag ?? ''
+}
