--- /dev/null
+++ b/packages/proving/src/fleet.ts
@@ -0,0 +1,257 @@
+import * as operators from '@acaciaweir/operators'
+import * as platform from '@acaciaweir/platform'
+import * as runtime from '@acaciaweir/runtime'
+import * as url from 'node:url'
+import * as examples from './example-manifest.js'
+import * as processes from './managed-process.js'
+import * as proxies from './peer-proxy.js'
+import * as relays from './relay.js'
+import type * as traces from './trace-format.js'
+
+const LOOPBACK = '127.0.0.1'
+const ROUTER_SCRIPT = url.fileURLToPath(import.meta.resolve('@acaciaweir/router-daemon').replace('index.js', 'main.js'))
+const STAND_IN_SCRIPT = url.fileURLToPath(import.meta.resolve('@acaciaweir/stand-ins').replace('index.js', 'main.js'))
+
+/** A running target behind a relay. */
+export interface FleetTarget {
+  id: string
+  kind: 'engine' | 'service'
+  relay: relays.Relay
+  address: string
+  process: processes.ManagedProcess
+  port: number
+  /** What the target served before it was killed. */
+  servedBefore: unknown[]
+  alive: boolean
+}
+
+/** A router process with the relays that its faults go through. */
+export interface FleetRouter {
+  index: number
+  host: string
+  availabilityZone: string
+  process: processes.ManagedProcess | undefined
+  callerAddress: string
+  peerAddress: string
+  platformRelay: relays.Relay
+  platformAddress: string
+  proxy: proxies.PeerProxy
+  proxyPort: number
+}
+
+/** Real routers and stand-ins as separate processes, with switches for faults. */
+export class Fleet {
+  readonly deployment: traces.TraceHeader['deployment']
+  readonly name: string
+  readonly accounts: string[]
+  readonly routers: FleetRouter[] = []
+  readonly targets: FleetTarget[] = []
+  readonly #seed: number
+  readonly #cuts = new Set<string>()
+  #platform: processes.ManagedProcess | undefined
+  #platformPort = 0
+  #client: platform.platformClient.PlatformClient | undefined
+
+  constructor (name: string, deployment: traces.TraceHeader['deployment'], seed: number) {
+    this.name = name
+    this.deployment = deployment
+    this.#seed = seed
+    this.accounts = Array.from({ length: deployment.accounts }, (_value, index) => `account-${index}`)
+  }
+
+  /** The platform, reached without any of the faults' relays. */
+  get client (): platform.platformClient.PlatformClient {
+    if (this.#client === undefined) throw new Error('the fleet has not been started')
+    return this.#client
+  }
+
+  get store (): operators.configurationStore.ConfigurationStore {
+    return new operators.configurationStore.ConfigurationStore(this.client)
+  }
+
+  /** Starts everything and resolves when all routers are ready. */
+  async start (): Promise<void> {
+    this.#platform = new processes.ManagedProcess(STAND_IN_SCRIPT, ['platform'])
+    this.#platformPort = await listeningPort(this.#platform)
+    this.#client = new platform.httpPlatformClient.HttpPlatformClient({ address: `http://${LOOPBACK}:${this.#platformPort}`, timeoutMs: 10_000 })
+    for (let index = 0; index < this.deployment.engines; index += 1) this.targets.push(await this.#createTarget('engine', index))
+    for (let index = 0; index < this.deployment.services; index += 1) this.targets.push(await this.#createTarget('service', index))
+    await this.store.apply(this.#manifest(), 0, 'first')
+    for (let index = 0; index < this.deployment.routers; index += 1) this.routers.push(await this.#createRouter(index))
+    await Promise.all(this.routers.map((router) => this.startRouter(router)))
+  }
+
+  /** Starts a router's process and resolves when it is ready. */
+  async startRouter (router: FleetRouter): Promise<void> {
+    const process = new processes.ManagedProcess(ROUTER_SCRIPT, this.#routerArguments(router), this.#routerEnvironment(router))
+    router.process = process
+    const started = await process.waitFor((line) => line.event === 'started')
+    router.callerAddress = String(started.callerAddress)
+    router.peerAddress = String(started.peerAddress)
+    await this.#becomeReady(router)
+  }
+
+  target (id: string): FleetTarget {
+    const found = this.targets.find((target) => target.id === id)
+    if (found === undefined) throw new Error(`there is no target ${id}`)
+    return found
+  }
+
+  async startTarget (target: FleetTarget): Promise<void> {
+    target.process = new processes.ManagedProcess(STAND_IN_SCRIPT, this.#targetArguments(target.kind))
+    target.port = await listeningPort(target.process)
+    target.relay.aim(target.port)
+    target.alive = true
+  }
+
+  async killTarget (target: FleetTarget): Promise<void> {
+    target.servedBefore.push(...await this.#servedNow(target))
+    target.alive = false
+    target.process.signal('SIGKILL')
+    await target.process.exited()
+  }
+
+  /** All that a target served, also before it was killed. */
+  async served (target: FleetTarget): Promise<unknown[]> {
+    if (!target.alive) return target.servedBefore
+    return [...target.servedBefore, ...await this.#servedNow(target)]
+  }
+
+  async setTarget (target: FleetTarget, change: object): Promise<void> {
+    await postJson(`http://${LOOPBACK}:${target.port}/admin/set`, change)
+  }
+
+  async setPlatform (faults: object): Promise<void> {
+    await postJson(`http://${LOOPBACK}:${this.#platformPort}/admin/faults`, faults)
+  }
+
+  async setListed (kind: 'hosts' | 'targets', name: string, leaving: boolean): Promise<void> {
+    await postJson(`http://${LOOPBACK}:${this.#platformPort}/admin/listed`, { kind, name, leaving })
+  }
+
+  /** Calls that the platform has taken since its start, by kind. */
+  async platformCounts (): Promise<Record<string, number>> {
+    const answer = await postJson(`http://${LOOPBACK}:${this.#platformPort}/admin/counts`, {})
+    return (JSON.parse(answer) as { counts: Record<string, number> }).counts
+  }
+
+  /** Cuts two groups of routers off each other, in both directions. */
+  cut (from: number[], to: number[]): void {
+    for (const left of from) {
+      for (const right of to) {
+        this.#cuts.add(`${left}>${right}`)
+        this.#cuts.add(`${right}>${left}`)
+      }
+    }
+    for (const router of this.routers) router.proxy.enforce()
+  }
+
+  /** Ends all cuts between routers. */
+  heal (): void {
+    this.#cuts.clear()
+  }
+
+  /** Ends all processes that this fleet started. */
+  async stop (): Promise<void> {
+    const running = [...this.routers.map((router) => router.process), ...this.targets.map((target) => target.process), this.#platform]
+    for (const process of running) process?.signal('SIGKILL')
+    for (const router of this.routers) {
+      router.platformRelay.close()
+      router.proxy.close()
+    }
+    for (const target of this.targets) target.relay.close()
+    await Promise.all(running.map((process) => process?.exited()))
+  }
+
+  async #createTarget (kind: 'engine' | 'service', index: number): Promise<FleetTarget> {
+    const process = new processes.ManagedProcess(STAND_IN_SCRIPT, this.#targetArguments(kind))
+    const port = await listeningPort(process)
+    const relay = new relays.Relay(port)
+    const address = `http://${LOOPBACK}:${await relay.listen()}`
+    return { id: `${kind}-${index}`, kind, relay, address, process, port, servedBefore: [], alive: true }
+  }
+
+  async #createRouter (index: number): Promise<FleetRouter> {
+    const platformRelay = new relays.Relay(this.#platformPort)
+    const proxy = new proxies.PeerProxy((address) => this.#isCut(index, address))
+    const { availabilityZones } = this.deployment
+    return {
+      index,
+      host: `host-${index}`,
+      availabilityZone: availabilityZones[index % availabilityZones.length],
+      process: undefined,
+      callerAddress: '',
+      peerAddress: '',
+      platformRelay,
+      platformAddress: `http://${LOOPBACK}:${await platformRelay.listen()}`,
+      proxy,
+      proxyPort: await proxy.listen()
+    }
+  }
+
+  #isCut (from: number, address: string): boolean {
+    const to = this.routers.find((router) => router.peerAddress === address)
+    return to !== undefined && this.#cuts.has(`${from}>${to.index}`)
+  }
+
+  #manifest (): operators.manifest.Manifest {
+    const ofKind = (kind: string): FleetTarget[] => this.targets.filter((target) => target.kind === kind)
+    return examples.exampleManifest({
+      name: this.name,
+      engines: ofKind('engine').map(({ id, address }) => ({ id, address })),
+      services: ofKind('service').map(({ id, address }) => ({ id, address })),
+      availabilityZones: this.deployment.availabilityZones,
+      accounts: this.accounts,
+      totalTokens: this.deployment.totalTokens,
+      capTokens: this.deployment.capTokens,
+      slots: this.deployment.slots
+    })
+  }
+
+  #targetArguments (kind: 'engine' | 'service'): string[] {
+    if (kind === 'service') return ['service']
+    const { slots, firstTokenMs, tokenIntervalMs } = this.deployment
+    return ['engine', '--slots', String(slots), '--first-token-ms', String(firstTokenMs), '--token-interval-ms', String(tokenIntervalMs)]
+  }
+
+  #routerArguments (router: FleetRouter): string[] {
+    const settings: Record<string, string | number> = {
+      host: router.host,
+      'availability-zone': router.availabilityZone,
+      'platform-address': router.platformAddress,
+      'caller-listen': `${LOOPBACK}:0`,
+      'peer-listen': `${LOOPBACK}:0`,
+      'metrics-listen': `${LOOPBACK}:0`,
+      seed: this.#seed + router.index,
+      ...this.deployment.routerSettings
+    }
+    return Object.entries(settings).flatMap(([name, value]) => [`--${name}`, String(value)])
+  }
+
+  #routerEnvironment (router: FleetRouter): Record<string, string> {
+    return { grpc_proxy: `http://${LOOPBACK}:${router.proxyPort}` }
+  }
+
+  async #becomeReady (router: FleetRouter): Promise<void> {
+    const clock = new runtime.systemClock.SystemClock()
+    for (;;) {
+      const answer = await runtime.httpCall.callHttp({ method: 'GET', url: router.callerAddress + '/readyz', idleTimeoutMs: 2000 }).catch(() => undefined)
+      if (answer?.status === 200) return
+      await clock.sleep(20)
+    }
+  }
+
+  async #servedNow (target: FleetTarget): Promise<unknown[]> {
+    const answer = await runtime.httpCall.callHttp({ method: 'GET', url: `http://${LOOPBACK}:${target.port}/admin/served`, idleTimeoutMs: 5000 })
+    return JSON.parse(answer.body) as unknown[]
+  }
+}
+
+async function listeningPort (process: processes.ManagedProcess): Promise<number> {
+  return Number((await process.waitFor((line) => line.listening !== undefined)).listening)
+}
+
+async function postJson (address: string, body: object): Promise<string> {
+  const answer = await runtime.httpCall.callHttp({ method: 'POST', url: address, body: JSON.stringify(body), idleTimeoutMs: 5000 })
+  return answer.body
+}
--- a/packages/router-daemon/src/running-streams.ts
+++ b/packages/router-daemon/src/running-streams.ts
@@ -31,7 +31,8 @@
   billed (request: admitted.AdmittedRequest): void {
     this.#billed.set(request.requestId, request.intent().account)
     if (this.#billed.size <= REMEMBERED_STREAMS) return
-    for (const oldest of this.#billed.keys()) { this.#billed.delete(oldest); break }
+    const oldest = this.#billed.keys().next()
+    if (oldest.done !== true) this.#billed.delete(oldest.value)
   }
 
   /** Gives a stream up, or tells that it has been billed. */
