--- a/packages/decisions/src/journal-types.ts
+++ b/packages/decisions/src/journal-types.ts
@@ -12,6 +12,8 @@
   /** The caller's identity for the request, unique within its client account. */
   key: string
   repeatable: boolean
+  /** Wall-clock time of the record, in milliseconds since 1970. */
+  openedAtMs: number
 }
 
 /**
--- a/packages/decisions/src/journal.ts
+++ b/packages/decisions/src/journal.ts
@@ -95,15 +95,23 @@
   if (journal.state !== types.JournalState.sealed) return undefined
   const answered = journal.witnesses.filter((witness) => tails.has(witness))
   if (journal.witnesses.length > 0 && answered.length < witnessQuorum(journal.witnesses.length)) return undefined
+  return withRecords(journal, answered.map((witness) => tails.get(witness) ?? []))
+}
+
+/** Adds the records of an owner that has found itself sealed. Undefined where the journal has been gathered already. */
+export function gatherFromOwner (journal: types.Journal, tail: readonly types.LogRecord[]): types.Journal | undefined {
+  if (journal.state !== types.JournalState.sealed) return undefined
+  return withRecords(journal, [tail])
+}
+
+function withRecords (journal: types.Journal, tails: ReadonlyArray<readonly types.LogRecord[]>): types.Journal {
   const gathered = structuredClone(journal)
-  for (const record of mergeTails(answered.map((witness) => tails.get(witness) ?? []))) {
-    applyRecord(gathered, record)
-  }
+  for (const record of mergeTails(tails)) applyRecord(gathered, record)
   gathered.state = types.JournalState.gathered
   return gathered
 }
 
-function mergeTails (tails: types.LogRecord[][]): types.LogRecord[] {
+function mergeTails (tails: ReadonlyArray<readonly types.LogRecord[]>): types.LogRecord[] {
   const bySequence = new Map<number, types.LogRecord>()
   for (const record of tails.flat()) bySequence.set(record.sequence, record)
   return [...bySequence.values()].sort((left, right) => left.sequence - right.sequence)
--- a/packages/proving/src/trace-caller.ts
+++ b/packages/proving/src/trace-caller.ts
@@ -142,7 +142,7 @@
       run.report.outcome = problem.ran === 'yes' ? CallerOutcome.ran : CallerOutcome.unknown
       return problem.ran === 'yes' && problem.tag !== 'duplicate_running'
     }
-    if (problem.tag === 'stream_unknown') run.stream = undefined
+    if (problem.tag === 'stream_unknown') startAnew(run)
     run.report.outcome = CallerOutcome.failed
     return false
   }
@@ -187,6 +187,13 @@
   }
 }
 
+/** A new run gives a new answer: what has come of the old one does not count. */
+function startAnew (run: attempts.CallerRun): void {
+  run.stream = undefined
+  run.text = ''
+  run.offset = 0
+}
+
 function takeLoss (run: attempts.CallerRun, reason: string): boolean {
   run.report.problem = reason
   run.report.outcome = run.event.call === 'service-once' ? CallerOutcome.unknown : CallerOutcome.failed
--- a/packages/router-daemon/src/admitted-request.ts
+++ b/packages/router-daemon/src/admitted-request.ts
@@ -6,8 +6,11 @@
 
 /** Limits of waiting during admission and at the end, in milliseconds. */
 export interface AdmissionLimits {
+  clock: decisions.clock.Clock
   budgetWaitMs: number
   durabilityWaitMs: number
+  /** Wait for a bill to reach the journal before copies at witnesses are enough. */
+  billJournalWaitMs: number
   requestTimeoutMs: number
 }
 
@@ -35,6 +38,7 @@
   #opened = false
   #closed = false
   #target = ''
+  #openedAtMs = 0
 
   constructor (requestId: string, incarnation: incarnations.Incarnation, question: AdmissionQuestion, limits: AdmissionLimits, onClosed: () => void) {
     this.requestId = requestId
@@ -57,6 +61,7 @@
   async open (target: string): Promise<void> {
     this.#target = target
     this.#opened = true
+    this.#openedAtMs = this.#limits.clock.wallNow()
     const sequence = this.incarnation.log.append({ kind: 'open', intent: this.intent() })
     const durability = await this.incarnation.log.durable(sequence, this.#limits.durabilityWaitMs)
     if (durability === logs.Durability.durable) return
@@ -79,6 +84,7 @@
     this.incarnation.ledger.settle(this.requestId, this.#question.budget, bill.promptTokens + bill.completionTokens)
     const sequence = this.incarnation.log.append({ kind: 'billed', bill })
     this.#onClosed()
+    await this.incarnation.log.journaledBy(sequence, this.#limits.billJournalWaitMs)
     const durability = await this.incarnation.log.durable(sequence, this.#limits.requestTimeoutMs)
     if (durability === logs.Durability.durable) return
     if (durability === logs.Durability.sealed) { await this.incarnation.log.settleSealed(bill); return }
@@ -96,7 +102,8 @@
       reservedTokens: tokens,
       reservedPromptTokens: promptTokens,
       key: this.#key,
-      repeatable: envelope.repeatable
+      repeatable: envelope.repeatable,
+      openedAtMs: this.#openedAtMs
     }
   }
 }
--- a/packages/router-daemon/src/frame-relay.ts
+++ b/packages/router-daemon/src/frame-relay.ts
@@ -130,12 +130,16 @@
     this.#context.directory.noteContact(this.#request.target, false)
     const result = await this.#cancel(failure)
     if (result.kind === 'ended') return { data: '', usage: result.usage, complete: false }
-    const nothingRan = result.kind === 'never-ran' && this.#body !== undefined && this.#sequence.nextOffset === 0
-    if (nothingRan) throw new targets.targetError.TargetError(this.#request.target, 'cancel', 'never ran', decisions.retryRules.DispatchKnowledge.neverSent)
+    if (this.#neverRan(result)) throw new targets.targetError.TargetError(this.#request.target, 'cancel', 'never ran', decisions.retryRules.DispatchKnowledge.neverSent)
     if (result.kind === 'attached') this.#request.closeNotRun()
     throw this.#lost('answer_cut', `the target says ${result.kind}`)
   }
 
+  #neverRan (result: targets.engineTypes.CancelResult): boolean {
+    if (result.kind !== 'never-ran' || this.#body === undefined || this.#sequence.nextOffset > 0) return false
+    return settlers.provesNeverRan(this.#request.intent(), result.rememberedMs, this.#context.clock)
+  }
+
   async #cancel (failure: targets.targetError.TargetError | undefined): Promise<targets.engineTypes.CancelResult> {
     try {
       return await this.#engine().cancel(this.#request.requestId, this.#request.incarnation.id)
--- a/packages/router-daemon/src/record-log.ts
+++ b/packages/router-daemon/src/record-log.ts
@@ -43,6 +43,11 @@
   sending: boolean
 }
 
+interface JournalWaiter {
+  sequence: number
+  resolve: () => void
+}
+
 interface Waiter {
   sequence: number
   resolve: (durability: Durability) => void
@@ -65,6 +70,9 @@
   /** Witnesses named by a journal write whose outcome is open; until it is known, both sets have to hold a record. */
   #nextWitnesses: Witness[] | undefined
   #waiters: Waiter[] = []
+  readonly #journalWaiters = new Set<JournalWaiter>()
+  /** True while the last journal write had no answer. */
+  #outage = false
   #nap = new AbortController()
   #urgent = false
   #dirty = true
@@ -151,6 +159,16 @@
     })
   }
 
+  /** Waits until the journal in the platform contains a record, or the time is over. Returns at once while the platform does not answer. */
+  async journaledBy (sequence: number, waitMs: number): Promise<void> {
+    if (this.#sealed || this.#outage || sequence <= this.#journaled) return
+    await new Promise<void>((resolve) => {
+      const waiter: JournalWaiter = { sequence, resolve: () => { clearTimeout(timer); resolve() } }
+      const timer = setTimeout(() => { this.#journalWaiters.delete(waiter); resolve() }, waitMs)
+      this.#journalWaiters.add(waiter)
+    })
+  }
+
   /** Changes the routers that hold copies. Does nothing while an earlier change is not known to be in the journal. */
   useWitnesses (members: readonly decisions.membership.Member[]): void {
     if (this.#nextWitnesses !== undefined || this.#sealed) return
@@ -196,6 +214,8 @@
         await this.#writeJournal()
       } catch (error) {
         this.#dirty = true
+        this.#outage = true
+        this.#wakeJournalWaiters(Infinity)
         this.#options.logger.warn({ event: 'journal-write-failed', step: 'write journal', peer: 'platform', reason: (error as Error).message })
         await this.#options.clock.sleep(this.#options.journalIntervalMs, this.#stop.signal)
       }
@@ -222,6 +242,7 @@
     const result = await this.#options.platform.write(this.#key, this.#journal, this.#version)
     const contained = result.kind === 'written' ? this.#adoptVersion(result.version) : await this.#readBack(writes)
     if (!contained) { this.#dirty = true; return }
+    this.#outage = false
     this.#lastWriteAt = this.#options.clock.now()
     this.#journaled = sequence
     this.#tail = this.#tail.filter((record) => record.sequence > sequence)
@@ -229,9 +250,18 @@
       this.#witnesses = nextWitnesses
       this.#nextWitnesses = undefined
     }
+    this.#wakeJournalWaiters(sequence)
     this.#wake()
   }
 
+  #wakeJournalWaiters (sequence: number): void {
+    for (const waiter of this.#journalWaiters) {
+      if (waiter.sequence > sequence) continue
+      this.#journalWaiters.delete(waiter)
+      waiter.resolve()
+    }
+  }
+
   #adoptVersion (version: string): boolean {
     this.#version = version
     return true
@@ -314,27 +344,43 @@
     this.#nap.abort()
     const waiters = this.#waiters
     this.#waiters = []
+    this.#wakeJournalWaiters(Infinity)
     for (const waiter of waiters) waiter.resolve(Durability.sealed)
+    void this.#gatherOwn()
     this.#options.logger.warn({ event: 'sealed', incarnation: this.#journal.incarnation, step: 'write journal', peer: 'platform' })
     this.#options.onSealed()
   }
 
+  /** Adds all records to the sealed journal: the owner knows them all, and dispatches nothing any more. */
+  async #gatherOwn (): Promise<void> {
+    while (!await this.#tryUpdate((present) => gatherOwnRecords(present, this.#tail))) {
+      await this.#options.clock.sleep(this.#options.journalIntervalMs)
+    }
+  }
+
   async #settleSealed (bill: decisions.journalTypes.Bill): Promise<void> {
-    while (!await this.#trySettleSealed(bill)) {
+    while (!await this.#tryUpdate((present) => settleInEnded(present, bill))) {
       await this.#options.clock.sleep(this.#options.journalIntervalMs)
     }
   }
 
-  async #trySettleSealed (bill: decisions.journalTypes.Bill): Promise<boolean> {
+  async #tryUpdate (decide: (present: decisions.journalTypes.Journal | undefined) => JournalChange): Promise<boolean> {
     try {
-      return await platform.conditionalUpdate.updateObject<decisions.journalTypes.Journal, boolean>(
-        this.#options.platform, this.#key, (present) => settleInEnded(present, bill))
+      return await platform.conditionalUpdate.updateObject<decisions.journalTypes.Journal, boolean>(this.#options.platform, this.#key, decide)
     } catch {
       return false
     }
   }
 }
 
+type JournalChange = platform.conditionalUpdate.Change<decisions.journalTypes.Journal, boolean>
+
+function gatherOwnRecords (present: decisions.journalTypes.Journal | undefined, tail: readonly decisions.journalTypes.LogRecord[]): JournalChange {
+  if (present === undefined) return { kind: 'keep', result: true }
+  const gathered = decisions.journal.gatherFromOwner(present, tail)
+  return gathered === undefined ? { kind: 'keep', result: true } : { kind: 'write', value: gathered, result: true }
+}
+
 /** Highest sequence up to which a quorum of the witnesses holds all records; 0 without witnesses. */
 function heldByQuorum (witnesses: readonly Witness[]): number {
   const acknowledged = witnesses.map((witness) => witness.acknowledged).sort((left, right) => right - left)
@@ -342,7 +388,7 @@
 }
 
 /** Adds a bill to an ended journal once its witnesses' records are gathered. */
-function settleInEnded (present: decisions.journalTypes.Journal | undefined, bill: decisions.journalTypes.Bill): platform.conditionalUpdate.Change<decisions.journalTypes.Journal, boolean> {
+function settleInEnded (present: decisions.journalTypes.Journal | undefined, bill: decisions.journalTypes.Bill): JournalChange {
   if (present === undefined || present.state === decisions.journalTypes.JournalState.folded) return { kind: 'keep', result: true }
   if (present.state !== decisions.journalTypes.JournalState.gathered) return { kind: 'keep', result: false }
   const settled = structuredClone(present)
--- a/packages/router-daemon/src/router.ts
+++ b/packages/router-daemon/src/router.ts
@@ -73,7 +73,7 @@
     this.#configuration = this.#createConfiguration()
     this.#incarnation = this.#createIncarnation()
     const keyGate = new keys.KeyGate({ platform: this.#platform, peers: this.#peers, own: this.#own, addressOf: (id) => this.#liveAddress(id) })
-    const settler = new settlers.IntentSettler(this.#directory, () => this.#configuration.agreement)
+    const settler = new settlers.IntentSettler(this.#directory, this.#clock, () => this.#configuration.agreement)
     this.#lateSettlement = new late.LateSettlement(settler, this.#clock, logger)
     this.#membershipTask = this.#createMembershipTask()
     this.#recoveryTask = this.#createRecoveryTask(settler)
@@ -349,7 +349,7 @@
       policy: routing.createPolicy(this.#settings.routingPolicy, this.#settings.seed ?? crypto.randomInt(2 ** 31)),
       keyGate,
       streams: this.#streams,
-      limits: this.#settings,
+      limits: { ...this.#settings, clock: this.#clock },
       resumeGraceMs: this.#settings.resumeGraceMs,
       agreement: () => this.#agreement(),
       incarnation: () => this.#incarnation,
--- a/packages/router-daemon/src/service-flow.ts
+++ b/packages/router-daemon/src/service-flow.ts
@@ -66,7 +66,7 @@
     const answer = await sendCall(attempt, targetSpan)
     context.directory.noteContact(target, true)
     if (NOT_TAKEN_STATUSES.has(answer.status)) return undefined
-    await request.closeBilled(serviceBill(request, decisions.journalTypes.BillOutcome.complete))
+    await request.closeBilled(serviceBill(request))
     return { ...answer, requestId: request.requestId }
   } catch (error) {
     if (!(error instanceof targets.targetError.TargetError)) throw error
@@ -104,11 +104,11 @@
 
 /** Bills a call that may have run, and throws the ProblemError that says so. */
 async function reportUnknown (request: admitted.AdmittedRequest, error: targets.targetError.TargetError): Promise<never> {
-  await request.closeBilled(serviceBill(request, decisions.journalTypes.BillOutcome.unknown))
+  await request.closeBilled(settlers.unknownBill(request.intent()))
   throw new decisions.problem.ProblemError({ tag: 'outcome_unknown', step: error.step, peer: decisions.problem.Peer.target, detail: error.message })
 }
 
-function serviceBill (request: admitted.AdmittedRequest, outcome: decisions.journalTypes.BillOutcome): decisions.journalTypes.Bill {
+function serviceBill (request: admitted.AdmittedRequest): decisions.journalTypes.Bill {
   const intent = request.intent()
-  return { ...settlers.billOf(intent, { promptTokens: 0, completionTokens: intent.reservedTokens }, true), outcome }
+  return settlers.billOf(intent, { promptTokens: 0, completionTokens: intent.reservedTokens }, true)
 }
--- a/packages/runtime/src/system-clock.ts
+++ b/packages/runtime/src/system-clock.ts
@@ -7,6 +7,10 @@
     return performance.now()
   }
 
+  override wallNow (): number {
+    return Date.now()
+  }
+
   override async sleep (milliseconds: number, signal?: AbortSignal): Promise<void> {
     try {
       await timers.setTimeout(milliseconds, undefined, { signal })
--- a/packages/stand-ins/src/engine-server.ts
+++ b/packages/stand-ins/src/engine-server.ts
@@ -61,6 +61,7 @@
   readonly #streams = new Map<string, EngineStream>()
   readonly #queue: EngineStream[] = []
   readonly #loadHistory: Array<{ at: number, running: number, waiting: number }> = []
+  readonly #startedAt = performance.now()
   #running = 0
   leaving = false
   #heartbeat: NodeJS.Timeout | undefined
@@ -128,7 +129,7 @@
 
   #cancel (requestId: string, incarnation: string, response: http.ServerResponse): void {
     const stream = this.#streams.get(requestId)
-    if (stream === undefined) { runtime.httpServer.sendJson(response, 200, { kind: 'never-ran' }); return }
+    if (stream === undefined) { runtime.httpServer.sendJson(response, 200, { kind: 'never-ran', rememberedMs: this.#rememberedMs() }); return }
     if (stream.incarnation !== incarnation && stream.readers.size > 0 && !stream.ended) {
       runtime.httpServer.sendJson(response, 200, { kind: 'attached', incarnation: stream.incarnation })
       return
@@ -136,10 +137,15 @@
     const finished = stream.ended && stream.produced === stream.length
     this.#end(stream)
     for (const reader of stream.readers) reader.response.destroy()
-    if (stream.served === undefined) { runtime.httpServer.sendJson(response, 200, { kind: 'never-ran' }); return }
+    if (stream.served === undefined) { runtime.httpServer.sendJson(response, 200, { kind: 'never-ran', rememberedMs: this.#rememberedMs() }); return }
     runtime.httpServer.sendJson(response, 200, { kind: 'ended', finished, incarnation: stream.incarnation, usage: usageOf(stream) })
   }
 
+  /** Time for which requests are remembered: since the start, up to the retention time. */
+  #rememberedMs (): number {
+    return Math.min(this.options.retentionMs, performance.now() - this.#startedAt)
+  }
+
   #attach (stream: EngineStream, offset: number, response: http.ServerResponse): void {
     response.writeHead(200, { 'content-type': 'text/event-stream' })
     response.flushHeaders()
--- a/packages/targets/src/engine-client.ts
+++ b/packages/targets/src/engine-client.ts
@@ -16,7 +16,7 @@
 const cancelSchema = zod.discriminatedUnion('kind', [
   zod.object({ kind: zod.literal('ended'), finished: zod.boolean(), incarnation: zod.string(), usage: usageSchema }),
   zod.object({ kind: zod.literal('attached'), incarnation: zod.string() }),
-  zod.object({ kind: zod.literal('never-ran') })
+  zod.object({ kind: zod.literal('never-ran'), rememberedMs: zod.number() })
 ])
 const loadSchema = zod.object({ running: zod.number(), waiting: zod.number(), leaving: zod.boolean() })
 
--- a/packages/targets/src/engine-types.ts
+++ b/packages/targets/src/engine-types.ts
@@ -22,11 +22,14 @@
   usage?: Usage
 }
 
-/** What an engine knows of a request when asked to cancel it. `incarnation` is the router that read it last. */
+/**
+ * What an engine knows of a request when asked to cancel it. `incarnation` is the router that read it last;
+ * `rememberedMs` is the time for which the engine remembers requests, less after a restart.
+ */
 export type CancelResult =
   | { kind: 'ended', usage: Usage, finished: boolean, incarnation: string }
   | { kind: 'attached', incarnation: string }
-  | { kind: 'never-ran' }
+  | { kind: 'never-ran', rememberedMs: number }
 
 /** An engine's load, as it reports it. */
 export interface LoadReport {
