Bound what a router lost together with its witnesses may have spent

Where a later process at the same host proves that owner and silent witnesses have ended, the headroom counts as spent and the rest returns.

--- a/packages/decisions/src/journal-types.ts
+++ b/packages/decisions/src/journal-types.ts
@@ -60,6 +60,8 @@
   host: string
   availabilityZone: string
   peerAddress: string
+  /** Identity of the process; a later process at the same host proves that this one has ended. */
+  process: string
   state: JournalState
   /** Raised by each write of the owner; shows that it lives. */
   writes: number
@@ -68,6 +70,12 @@
   /** Incarnations that hold copies of records before the journal does. */
   witnesses: ledger.IncarnationId[]
   spent: Record<string, ledger.TokensByAccount>
+  /** The most that the owner dispatches beyond the records in this journal, by budget and client account. Unit: tokens. */
+  headroom: Record<string, ledger.TokensByAccount>
+  /** Part of `spent` that no bill explains: the headroom of an owner lost together with its witnesses. */
+  unattributed: Record<string, ledger.TokensByAccount>
+  /** True where records were lost with the owner and its witnesses, so that a missing record proves nothing. */
+  recordsLost: boolean
   /** Budgets whose ledger pages may list this incarnation. */
   budgets: string[]
   open: Record<string, Intent>
--- a/packages/decisions/src/journal.ts
+++ b/packages/decisions/src/journal.ts
@@ -7,6 +7,7 @@
   host: string
   availabilityZone: string
   peerAddress: string
+  process: string
 }
 
 /** Creates the journal of a starting incarnation. */
@@ -18,6 +19,9 @@
     sequence: 0,
     witnesses,
     spent: {},
+    headroom: {},
+    unattributed: {},
+    recordsLost: false,
     budgets: [],
     open: {},
     bills: [],
@@ -71,9 +75,13 @@
 }
 
 function addSpent (journal: types.Journal, bill: types.Bill): void {
-  const accounts = journal.spent[bill.budget] ?? {}
-  accounts[bill.account] = (accounts[bill.account] ?? 0) + bill.promptTokens + bill.completionTokens
-  journal.spent[bill.budget] = accounts
+  addTokens(journal.spent, bill.budget, bill.account, bill.promptTokens + bill.completionTokens)
+}
+
+function addTokens (totals: types.Journal['spent'], budget: string, account: string, tokens: number): void {
+  const accounts = totals[budget] ?? {}
+  accounts[account] = (accounts[account] ?? 0) + tokens
+  totals[budget] = accounts
 }
 
 /** Closes a journal to its owner. What it does not contain and no witness holds was never dispatched. */
@@ -104,6 +112,23 @@
   return withRecords(journal, [tail])
 }
 
+/**
+ * Closes the books of an owner that has ended together with witnesses whose records are lost:
+ * all of its headroom counts as spent. Adds the records of the witnesses that did answer.
+ */
+export function gatherWithinHeadroom (journal: types.Journal, tails: ReadonlyMap<string, types.LogRecord[]>): types.Journal | undefined {
+  if (journal.state !== types.JournalState.sealed) return undefined
+  const gathered = withRecords(journal, [...tails.values()])
+  gathered.recordsLost = true
+  for (const [budget, accounts] of Object.entries(journal.headroom)) {
+    for (const [account, tokens] of Object.entries(accounts)) {
+      addTokens(gathered.spent, budget, account, tokens)
+      addTokens(gathered.unattributed, budget, account, tokens)
+    }
+  }
+  return gathered
+}
+
 function withRecords (journal: types.Journal, tails: ReadonlyArray<readonly types.LogRecord[]>): types.Journal {
   const gathered = structuredClone(journal)
   for (const record of mergeTails(tails)) applyRecord(gathered, record)
--- a/packages/decisions/src/membership.ts
+++ b/packages/decisions/src/membership.ts
@@ -6,6 +6,8 @@
   host: string
   availabilityZone: string
   peerAddress: string
+  /** Identity of the process; the same for all incarnations of one process. */
+  process: string
   callerAddress: string
   generation: number
   leaving: boolean
@@ -117,6 +119,11 @@
     return this.#select((state) => state.monitored && now - state.heardAt > this.#policy.deadAfterMs)
   }
 
+  /** True where a host runs another process than the given one now, so that the given one has ended. */
+  isReplaced (host: string, process: string, now: number): boolean {
+    return this.#select((state) => state.monitored && state.member.host === host && state.member.process !== process && !this.#isSuspected(state, now)).length > 0
+  }
+
   /** Time since a member's last sign of life, in milliseconds. */
   silenceMs (incarnation: string, now: number): number {
     return now - (this.#members.get(incarnation)?.heardAt ?? -Infinity)
--- a/packages/decisions/src/problem.ts
+++ b/packages/decisions/src/problem.ts
@@ -23,6 +23,7 @@
   budget_exhausted: { status: 402, title: 'The request does not fit into the budget or the account cap', ran: Ran.no },
   budget_unreachable: { status: 503, title: 'The budget cannot be drawn on now', ran: Ran.no, retryAfterSeconds: 2 },
   not_durable: { status: 503, title: 'The request cannot be recorded safely now', ran: Ran.no, retryAfterSeconds: 2 },
+  withdrawal_unknown: { status: 503, title: 'The request was not sent, but it may be billed as unknown', ran: Ran.unknown, retryAfterSeconds: 2 },
   no_target: { status: 503, title: 'No target can take the request now', ran: Ran.no, retryAfterSeconds: 1 },
   overloaded: { status: 429, title: 'The queue for this priority is full', ran: Ran.no, retryAfterSeconds: 1 },
   shutting_down: { status: 503, title: 'This entry host is leaving; use another', ran: Ran.no, retryAfterSeconds: 0 },
--- a/packages/decisions/src/request-key.ts
+++ b/packages/decisions/src/request-key.ts
@@ -29,7 +29,7 @@
   const state = journal.claims[claim]
   if (state !== undefined && state !== types.RunState.running) return state
   const known = journal.state === types.JournalState.gathered || journal.state === types.JournalState.folded
-  if (!known) return types.RunState.unknown
+  if (!known || journal.recordsLost) return types.RunState.unknown
   if (state === undefined) return types.RunState.notRun
   return types.RunState.unknown
 }
--- a/packages/decisions/test/invariants.test.ts
+++ b/packages/decisions/test/invariants.test.ts
@@ -37,7 +37,7 @@
     this.#starts += 1
     const name = `r${this.#starts}`
     const names = this.stores.map((_store, index) => `w${index}`)
-    const owner = { incarnation: name, host: name, availabilityZone: 'a', peerAddress: '' }
+    const owner = { incarnation: name, host: name, availabilityZone: 'a', peerAddress: '', process: name }
     this.routers.push({ name, book: new allotment.AllotmentBook(), stored: journal.startJournal(owner, names), pending: [], sequence: 0, open: new Map() })
   }
 
--- a/packages/decisions/test/journal.test.ts
+++ b/packages/decisions/test/journal.test.ts
@@ -3,7 +3,7 @@
 import * as keys from '../src/request-key.js'
 import * as types from '../src/journal-types.js'
 
-const owner = { incarnation: 'host-1-a', host: 'host-1', availabilityZone: 'zone-a', peerAddress: '127.0.0.1:1' }
+const owner = { incarnation: 'host-1-a', host: 'host-1', availabilityZone: 'zone-a', peerAddress: '127.0.0.1:1', process: 'p' }
 
 function intentOf (requestId: string, repeatable = true): types.Intent {
   return { requestId, account: 'alpha', budget: 'shared', target: 'engine-1', reservedTokens: 100, reservedPromptTokens: 60, openedAtMs: 0, key: `host-1-a.${requestId}`, repeatable }
@@ -58,6 +58,13 @@
     chai.expect(gathered === undefined ? true : journal.isSettled(gathered)).to.equal(false)
   })
 
+  it('charges the whole headroom, and proves no "not run", where the witnesses are lost with the owner', () => {
+    const sealed = journal.seal({ ...journalAfter([], ['a', 'b', 'c']), headroom: { shared: { alpha: 70 } } })
+    const gathered = journal.gatherWithinHeadroom(sealed, new Map())
+    chai.expect(gathered?.spent).to.deep.equal({ shared: { alpha: 70 } })
+    chai.expect(keys.runStateAfterEnd(gathered ?? sealed, journal.claimName('alpha', 'host-1-a.r1'))).to.equal('unknown')
+  })
+
   const claim = journal.claimName('alpha', 'host-1-a.r1')
   const open: types.LogRecord = { kind: 'open', sequence: 1, intent: intentOf('r1', false) }
   const runCases: Array<{ title: string, records: types.LogRecord[], gathered: boolean, state: types.RunState }> = [
--- a/packages/decisions/test/rules.test.ts
+++ b/packages/decisions/test/rules.test.ts
@@ -98,7 +98,7 @@
 
 describe('membership', () => {
   const member = (incarnation: string, availabilityZone: string): membership.Member => ({
-    incarnation, host: incarnation, availabilityZone, peerAddress: '', callerAddress: '', generation: 0, leaving: false
+    incarnation, host: incarnation, availabilityZone, peerAddress: '', process: incarnation, callerAddress: '', generation: 0, leaving: false
   })
   const self = member('self', 'a')
   const witnessCases: Array<{ title: string, live: membership.Member[], count: number, zones: number }> = [
--- a/packages/router-daemon/src/admitted-request.ts
+++ b/packages/router-daemon/src/admitted-request.ts
@@ -62,19 +62,29 @@
     this.#target = target
     this.#opened = true
     this.#openedAtMs = this.#limits.clock.wallNow()
-    const sequence = this.incarnation.log.append({ kind: 'open', intent: this.intent() })
-    const durability = await this.incarnation.log.durable(sequence, this.#limits.durabilityWaitMs)
+    const durability = await this.incarnation.log.appendDispatch(this.intent(), this.#limits.durabilityWaitMs)
     if (durability === logs.Durability.durable) return
-    throw new decisions.problem.ProblemError({ tag: 'not_durable', step: 'record dispatch', peer: decisions.problem.Peer.router, detail: durability })
+    const withdrawn = await this.#withdraw()
+    throw new decisions.problem.ProblemError({ tag: withdrawn ? 'not_durable' : 'withdrawal_unknown', step: 'record dispatch', peer: decisions.problem.Peer.router, detail: durability })
   }
 
-  /** Ends a request that did not run, and frees its reservation. */
-  closeNotRun (): void {
-    if (this.#closed) return
+  /** Takes back the record of a dispatch that will not happen. False where others may find the record without this. */
+  async #withdraw (): Promise<boolean> {
+    const sequence = this.closeNotRun()
+    const durability = await this.incarnation.log.durable(sequence, this.#limits.durabilityWaitMs)
+    if (durability === logs.Durability.durable) return true
+    if (durability === logs.Durability.late) return false
+    return await this.incarnation.log.dropSealed(this.requestId, this.#limits.durabilityWaitMs)
+  }
+
+  /** Ends a request that did not run, and frees its reservation. Returns the sequence of its last record; 0 without one. */
+  closeNotRun (): number {
+    if (this.#closed) return 0
     this.#closed = true
     this.incarnation.ledger.settle(this.requestId, this.#question.budget, 0)
-    if (this.#opened) this.incarnation.log.append({ kind: 'not-run', requestId: this.requestId })
     this.#onClosed()
+    if (!this.#opened) return 0
+    return this.incarnation.log.append({ kind: 'not-run', requestId: this.requestId })
   }
 
   /** Bills the request and resolves once the bill is durable. Throws ProblemError where it cannot be made durable in time. */
--- a/packages/router-daemon/src/ledger.ts
+++ b/packages/router-daemon/src/ledger.ts
@@ -74,6 +74,17 @@
     return this.#book
   }
 
+  /** The share of all free tokens that may be dispatched beyond the journal. */
+  headroom (share: number): decisions.headroom.TokensByBudget {
+    const headroom: decisions.headroom.TokensByBudget = {}
+    for (const [key] of this.#book.entries()) {
+      const accounts = headroom[key.budget] ?? {}
+      accounts[key.account] = Math.floor(this.#book.free(key) * share)
+      headroom[key.budget] = accounts
+    }
+    return headroom
+  }
+
   /** Reserves tokens, and waits for a grant, a settlement or a transfer where they do not fit at once. */
   async reserve (request: ReserveRequest): Promise<ReserveOutcome> {
     if (this.#tryReserve(request)) return ReserveOutcome.reserved
--- a/packages/router-daemon/src/record-log.ts
+++ b/packages/router-daemon/src/record-log.ts
@@ -33,6 +33,8 @@
   clock: decisions.clock.Clock
   logger: runtime.logging.Logger
   journalIntervalMs: number
+  /** The most to dispatch beyond a journal written now. */
+  headroom: () => decisions.headroom.TokensByBudget
   /** Called once, when another router has sealed the journal. */
   onSealed: () => void
 }
@@ -74,6 +76,9 @@
   /** True while the last journal write had no answer. */
   #outage = false
   #nap = new AbortController()
+  /** Windows of the journal that the platform is known to hold, and of the one that it may hold. */
+  #window = new decisions.headroom.HeadroomWindow({})
+  #nextWindow: decisions.headroom.HeadroomWindow | undefined
   #urgent = false
   #dirty = true
   #lastWriteAt = -Infinity
@@ -139,11 +144,27 @@
     const numbered = { ...record, sequence: this.#journal.sequence + 1 }
     decisions.journal.applyRecord(this.#journal, numbered)
     this.#tail.push(numbered)
+    this.#window.note(record)
+    this.#nextWindow?.note(record)
     this.#dirty = true
     this.#copyToAll()
     return numbered.sequence
   }
 
+  /**
+   * Adds the record of a dispatch and waits until it is durable. One beyond the headroom has to reach the journal itself,
+   * so that the journal always bounds what may have been spent.
+   */
+  async appendDispatch (intent: decisions.journalTypes.Intent, waitMs: number): Promise<Durability> {
+    const fits = this.#window.fits(intent) && this.#nextWindow?.fits(intent) !== false
+    const sequence = this.append({ kind: 'open', intent })
+    if (fits) return await this.durable(sequence, waitMs)
+    this.#hurry()
+    await this.journaledBy(sequence, waitMs)
+    if (this.#sealed) return Durability.sealed
+    return sequence <= this.#journaled ? Durability.durable : Durability.late
+  }
+
   /** Waits until a record is durable, the journal is sealed, or the time is over. */
   async durable (sequence: number, waitMs: number): Promise<Durability> {
     if (this.#sealed) return Durability.sealed
@@ -192,6 +213,17 @@
     await settling
   }
 
+  /** Takes an undispatched request out of a sealed journal. False where it was settled as run, or the time is over. */
+  async dropSealed (requestId: string, waitMs: number): Promise<boolean> {
+    const deadline = this.#options.clock.now() + waitMs
+    while (this.#options.clock.now() < deadline) {
+      const outcome = { dropped: false }
+      if (await this.#tryUpdate((present) => dropInEnded(present, requestId, outcome))) return outcome.dropped
+      await this.#options.clock.sleep(this.#options.journalIntervalMs)
+    }
+    return false
+  }
+
   /** Writes what is left and stops. The last write is tried until it succeeds or the time is over. */
   async close (limitMs: number): Promise<void> {
     const deadline = this.#options.clock.now() + limitMs
@@ -239,10 +271,14 @@
     const sequence = this.#journal.sequence
     const writes = this.#journal.writes
     const nextWitnesses = this.#nextWitnesses
+    this.#nextWindow ??= new decisions.headroom.HeadroomWindow(this.#options.headroom())
+    this.#journal.headroom = this.#nextWindow.headroom
     const result = await this.#options.platform.write(this.#key, this.#journal, this.#version)
     const contained = result.kind === 'written' ? this.#adoptVersion(result.version) : await this.#readBack(writes)
     if (!contained) { this.#dirty = true; return }
     this.#outage = false
+    this.#window = this.#nextWindow
+    this.#nextWindow = undefined
     this.#lastWriteAt = this.#options.clock.now()
     this.#journaled = sequence
     this.#tail = this.#tail.filter((record) => record.sequence > sequence)
@@ -373,6 +409,17 @@
   }
 }
 
+/** Takes a request that was not dispatched out of an ended journal once its witnesses' records are gathered. */
+function dropInEnded (present: decisions.journalTypes.Journal | undefined, requestId: string, outcome: { dropped: boolean }): JournalChange {
+  if (present === undefined) return { kind: 'keep', result: true }
+  if (present.state === decisions.journalTypes.JournalState.sealed) return { kind: 'keep', result: false }
+  const next = structuredClone(present)
+  const open = decisions.journal.dropIntent(next, requestId)
+  const gathered = present.state === decisions.journalTypes.JournalState.gathered
+  outcome.dropped = open || (gathered && !present.bills.some((bill) => bill.requestId === requestId))
+  return open ? { kind: 'write', value: next, result: true } : { kind: 'keep', result: true }
+}
+
 type JournalChange = platform.conditionalUpdate.Change<decisions.journalTypes.Journal, boolean>
 
 function gatherOwnRecords (present: decisions.journalTypes.Journal | undefined, tail: readonly decisions.journalTypes.LogRecord[]): JournalChange {
--- a/packages/router-daemon/src/recovery.ts
+++ b/packages/router-daemon/src/recovery.ts
@@ -16,6 +16,8 @@
   peers: routers.peerClient.PeerClient
   logger: runtime.logging.Logger
   settler: settlers.IntentSettler
+  /** True where a host runs a later process than the given one, which has thus ended. */
+  isReplaced: (host: string, process: string) => boolean
 }
 
 /** How far the recovery of one ended incarnation has come. */
@@ -53,27 +55,41 @@
       const records = await this.#sealAt(witness, sealed.incarnation)
       if (records !== undefined) tails.set(witness, records)
     }))
-    if (decisions.journal.gather(sealed, tails) === undefined) return undefined
-    const gathered = await this.#update(sealed.incarnation, (present) => decisions.journal.gather(present, tails) ?? present)
+    const quorum = decisions.journal.gather(sealed, tails) !== undefined
+    if (!quorum && !await this.#areRecordsLost(sealed, tails)) return undefined
+    const close = quorum ? decisions.journal.gather : decisions.journal.gatherWithinHeadroom
+    const gathered = await this.#update(sealed.incarnation, (present) => close(present, tails) ?? present)
+    if (!quorum) this.#options.logger.warn({ event: 'records-lost', incarnation: sealed.incarnation, headroom: sealed.headroom })
     this.#options.logger.info({ event: 'gathered', incarnation: sealed.incarnation, witnesses: tails.size, open: Object.keys(gathered?.open ?? {}).length })
     return gathered
   }
 
+  /** True where the owner and all witnesses that did not answer have provably ended, so that waiting for their records is in vain. */
+  async #areRecordsLost (sealed: Journal, tails: ReadonlyMap<string, unknown>): Promise<boolean> {
+    if (!this.#options.isReplaced(sealed.host, sealed.process)) return false
+    for (const witness of sealed.witnesses) {
+      if (tails.has(witness)) continue
+      const journal = await this.#readJournal(witness)
+      if (journal === undefined || !this.#options.isReplaced(journal.host, journal.process)) return false
+    }
+    return true
+  }
+
   async #sealAt (witness: string, incarnation: string): Promise<decisions.journalTypes.LogRecord[] | undefined> {
     try {
-      const address = await this.#addressOf(witness)
-      if (address === undefined) return undefined
-      const reply = await this.#options.peers.call(address, 'Seal', { incarnation, witness }, SEAL_TIMEOUT_MS)
+      const journal = await this.#readJournal(witness)
+      if (journal === undefined) return undefined
+      // The address is the journal's: a sealed witness may still run and hold its copies.
+      const reply = await this.#options.peers.call(journal.peerAddress, 'Seal', { incarnation, witness }, SEAL_TIMEOUT_MS)
       return reply.records
     } catch {
       return undefined
     }
   }
 
-  /** Peer address of a witness, from its journal; a sealed one may still run and hold its copies. */
-  async #addressOf (witness: string): Promise<string | undefined> {
-    const stored = await this.#options.platform.read(platform.objectKeys.journalKey(witness))
-    return (stored?.value as Journal | undefined)?.peerAddress
+  async #readJournal (incarnation: string): Promise<Journal | undefined> {
+    const stored = await this.#options.platform.read(platform.objectKeys.journalKey(incarnation))
+    return stored?.value as Journal | undefined
   }
 
   /** Asks the targets what became of each open request. Those that cannot be settled yet stay open. */
--- a/packages/router-daemon/src/router.ts
+++ b/packages/router-daemon/src/router.ts
@@ -39,6 +39,7 @@
   readonly #settings: settingsTypes.Settings
   readonly #logger: runtime.logging.Logger
   readonly #clock: decisions.clock.Clock
+  readonly #process = crypto.randomUUID()
   readonly #platform: platform.platformClient.PlatformClient
   readonly #peers = new routers.peerClient.PeerClient()
   readonly #witnessStore = new decisions.witnessStore.WitnessStore()
@@ -179,12 +180,13 @@
   #createIncarnation (): incarnations.Incarnation {
     const id = incarnations.newIncarnationId(this.#settings.host)
     const log = new logs.RecordLog({
-      owner: { incarnation: id, host: this.#settings.host, availabilityZone: this.#settings.availabilityZone, peerAddress: () => this.#peerAddress },
+      owner: { incarnation: id, host: this.#settings.host, availabilityZone: this.#settings.availabilityZone, process: this.#process, peerAddress: () => this.#peerAddress },
       platform: this.#platform,
       peers: this.#peers,
       clock: this.#clock,
       logger: this.#logger,
       journalIntervalMs: this.#settings.journalIntervalMs,
+      headroom: () => this.#own.get(id)?.ledger.headroom(this.#settings.unjournaledShare) ?? {},
       onSealed: () => { this.#replaceIncarnation(id) }
     })
     const ledger = new ledgers.Ledger({
@@ -270,6 +272,7 @@
       host: this.#settings.host,
       availabilityZone: this.#settings.availabilityZone,
       peerAddress: this.#peerAddress,
+      process: this.#process,
       callerAddress: this.#callerAddress,
       generation: this.#configuration.generation,
       leaving: this.#leaving
@@ -290,6 +293,11 @@
     void this.#configuration.peerHas(member.peerAddress, member.generation)
   }
 
+  #isReplaced (host: string, process: string): boolean {
+    if (host === this.#settings.host) return process !== this.#process
+    return this.#membership.isReplaced(host, process, this.#clock.now())
+  }
+
   #liveAddress (incarnation: string): string | undefined {
     return this.#membership.live(this.#clock.now()).find((member) => member.incarnation === incarnation)?.peerAddress
   }
@@ -326,7 +334,13 @@
   }
 
   #createRecoveryTask (settler: settlers.IntentSettler): recoveryTasks.RecoveryTask {
-    const recovery = new recoveries.Recovery({ platform: this.#platform, peers: this.#peers, logger: this.#logger, settler })
+    const recovery = new recoveries.Recovery({
+      platform: this.#platform,
+      peers: this.#peers,
+      logger: this.#logger,
+      settler,
+      isReplaced: (host, process) => this.#isReplaced(host, process)
+    })
     return new recoveryTasks.RecoveryTask({
       recovery,
       membership: this.#membership,
