--- a/packages/callers/src/call-parser.ts
+++ b/packages/callers/src/call-parser.ts
@@ -47,7 +47,7 @@
 }
 
 /** Reads the headers that all calls share. Throws ProblemError. */
-export function parseEnvelope (request: http.IncomingMessage, caller: types.Caller, gone: AbortSignal): types.CallEnvelope {
+export function parseEnvelope (request: http.IncomingMessage, caller: types.Caller, gone: AbortSignal, proof: types.KeyProof): types.CallEnvelope {
   const key = headerText(request, 'idempotency-key')
   if (key !== undefined && (key.length === 0 || key.length > KEY_LIMIT)) throw badRequest(`Idempotency-Key must have 1 to ${KEY_LIMIT} characters`)
   const notRepeatable = headerText(request, 'acaciaweir-not-repeatable') ?? 'false'
@@ -57,11 +57,17 @@
     budget: headerText(request, 'acaciaweir-budget'),
     key,
     repeatable: notRepeatable === 'false',
+    proof,
     headers: request.headers,
     gone
   }
 }
 
+/** True for a request that may run at most once and names its key. */
+export function runsAtMostOnce (request: http.IncomingMessage): boolean {
+  return headerText(request, 'acaciaweir-not-repeatable') === 'true' && headerText(request, 'idempotency-key') !== undefined
+}
+
 /** The bearer key of a request, or undefined. */
 export function bearerKey (request: http.IncomingMessage): string | undefined {
   const match = /^Bearer (.+)$/.exec(headerText(request, 'authorization') ?? '')
--- a/packages/callers/src/caller-edge.ts
+++ b/packages/callers/src/caller-edge.ts
@@ -36,17 +36,18 @@
   }
 
   async #receive (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const proof = { checked: false }
     try {
-      await this.#route(request, response)
+      await this.#route(request, response, proof)
     } catch (error) {
-      const problem = problems.toProblem(error)
+      const problem = withKeyProof(problems.toProblem(error), request, proof)
       this.#logger.info({ event: 'refused', ...problem, path: request.url })
       if (response.headersSent || response.destroyed) response.destroy()
       else problems.sendProblem(response, problem)
     }
   }
 
-  async #route (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+  async #route (request: http.IncomingMessage, response: http.ServerResponse, proof: types.KeyProof): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://router')
     if (url.pathname === '/healthz') { runtime.httpServer.sendJson(response, 200, { alive: true }); return }
     if (url.pathname === '/readyz') { this.#answerReadiness(response); return }
@@ -55,12 +56,12 @@
     if (url.pathname === '/v1/entry-hosts') { runtime.httpServer.sendJson(response, 200, this.#handler.entryHosts(caller)); return }
     const gone = goneSignal(response)
     if (url.pathname === '/v1/chat/completions' && request.method === 'POST') {
-      await this.#serveModel(parser.parseEnvelope(request, caller, gone), body, response)
+      await this.#serveModel(parser.parseEnvelope(request, caller, gone, proof), body, response)
       return
     }
     if (url.pathname.startsWith('/v1/streams/')) { await this.#resume(url, caller, gone, response); return }
     if (url.pathname.startsWith('/services/')) {
-      await this.#serveService(parser.parseEnvelope(request, caller, gone), request, url, body, response)
+      await this.#serveService(parser.parseEnvelope(request, caller, gone, proof), request, url, body, response)
       return
     }
     throw notFound(url.pathname)
@@ -129,6 +130,13 @@
   }
 }
 
+/** A refusal before the key was checked says nothing about earlier tries with that key. */
+function withKeyProof (problem: decisions.problem.Problem, request: http.IncomingMessage, proof: types.KeyProof): decisions.problem.Problem {
+  const refused = decisions.problem.describeProblem(problem.tag).ran === decisions.problem.Ran.no
+  if (!refused || proof.checked || problem.tag === 'bad_request' || !parser.runsAtMostOnce(request)) return problem
+  return { ...problem, ran: decisions.problem.Ran.unknown }
+}
+
 async function readCallBody (request: http.IncomingMessage): Promise<string> {
   try {
     return await runtime.httpCall.readBody(request, BODY_LIMIT_BYTES)
--- a/packages/callers/src/caller-types.ts
+++ b/packages/callers/src/caller-types.ts
@@ -4,6 +4,11 @@
   priority: number
 }
 
+/** Whether it is known that no earlier try with the same key has run. */
+export interface KeyProof {
+  checked: boolean
+}
+
 /** What every kind of call has in common. */
 export interface CallEnvelope {
   caller: Caller
@@ -12,6 +17,8 @@
   /** The caller's Idempotency-Key, where it sent one. */
   key: string | undefined
   repeatable: boolean
+  /** What has been proved about the key so far. */
+  proof: KeyProof
   /** Incoming headers, for the trace context. */
   headers: Record<string, unknown>
   /** Aborted when the caller's connection closes before the answer has ended. */
--- a/packages/callers/src/problem-response.ts
+++ b/packages/callers/src/problem-response.ts
@@ -26,7 +26,7 @@
     detail: problem.detail,
     step: problem.step,
     peer: problem.peer,
-    ran: kind.ran,
+    ran: problem.ran ?? kind.ran,
     retryAfterSeconds: kind.retryAfterSeconds,
     error: { message: kind.title, type: problem.tag, code: problem.tag }
   }
--- a/packages/decisions/src/problem.ts
+++ b/packages/decisions/src/problem.ts
@@ -49,6 +49,8 @@
   step: string
   peer: Peer
   detail?: string
+  /** Set where more, or less, is known about the request than the tag says. */
+  ran?: Ran
 }
 
 /** Carries a problem through code that throws. */
--- a/packages/proving/src/caller-attempt.ts
+++ b/packages/proving/src/caller-attempt.ts
@@ -5,7 +5,7 @@
 import type * as traces from './trace-format.js'
 
 /** Longest silence a caller bears, in milliseconds. */
-const CALLER_SILENCE_MS = 5000
+const CALLER_SILENCE_MS = 15_000
 
 /** An entry host that a caller knows. */
 export interface KnownHost {
@@ -21,6 +21,8 @@
   worst: number
   bearer: string
   tries: number
+  /** Tags of tries of the present key whose outcome is open; for requests that may run at most once. */
+  triesOfKey: string[]
   /** Names the stream to resume, once an answer has begun. */
   stream: string | undefined
   text: string
--- a/packages/proving/src/judge.ts
+++ b/packages/proving/src/judge.ts
@@ -56,8 +56,13 @@
   servedTokens: number
   platformCalls: Record<string, number>
   problems: Record<string, number>
+  /** A few requests that broke a promise, with what targets and bills say of them. */
+  evidence: unknown[]
 }
 
+/** Requests shown as evidence. */
+const EVIDENCE_LIMIT = 5
+
 /** Judges a replay by what callers, targets and the platform saw. */
 export async function judge (trace: traces.Trace, seed: number, fleet: fleets.Fleet, requests: callers.RequestReport[], budget: callers.BudgetView, seen: Observations): Promise<Verdict> {
   const served = await readServed(fleet)
@@ -91,7 +96,8 @@
     ...measured,
     usableBudgetShare,
     platformCalls: await fleet.platformCounts(),
-    problems: countProblems(requests)
+    problems: countProblems(requests),
+    evidence: evidenceOf(requests, byIndex, bills)
   }
 }
 
@@ -169,6 +175,14 @@
   return broken
 }
 
+function evidenceOf (requests: callers.RequestReport[], byIndex: Map<number, Served[]>, bills: decisions.journalTypes.Bill[]): unknown[] {
+  const ranTwice = (request: callers.RequestReport): boolean => request.call === 'service-once' && (byIndex.get(request.index)?.length ?? 0) > 1
+  const billsOf = (request: callers.RequestReport): decisions.journalTypes.Bill[] => bills.filter((bill) => bill.account === request.account && request.keys.includes(bill.key))
+  const unbilled = (request: callers.RequestReport): boolean => request.outcome === callers.CallerOutcome.whole && billsOf(request).length === 0
+  const suspicious = requests.filter((request) => ranTwice(request) || unbilled(request) || billsOf(request).length > 1 || request.wrongAnswer || request.cutAsWhole)
+  return suspicious.slice(0, EVIDENCE_LIMIT).map((request) => ({ request, served: byIndex.get(request.index) ?? [], bills: billsOf(request) }))
+}
+
 function countProblems (requests: callers.RequestReport[]): Record<string, number> {
   const counts: Record<string, number> = {}
   for (const request of requests) {
--- a/packages/proving/src/trace-caller.ts
+++ b/packages/proving/src/trace-caller.ts
@@ -6,7 +6,7 @@
 import type * as traces from './trace-format.js'
 
 /** Longest time a caller keeps trying, in milliseconds. */
-const CALLER_DEADLINE_MS = 20_000
+const CALLER_DEADLINE_MS = 45_000
 
 /** Pause before another try, in milliseconds. */
 const RETRY_PAUSE_MS = 150
@@ -100,7 +100,7 @@
       notRunTags: [],
       tokens: 0
     }
-    return { event, report, messages, worst, bearer: examples.exampleKey(account), tries: 0, stream: undefined, text: '', offset: 0 }
+    return { event, report, messages, worst, bearer: examples.exampleKey(account), tries: 0, triesOfKey: [], stream: undefined, text: '', offset: 0 }
   }
 
   /** One try at one host. Returns true once the request has ended for its caller. */
@@ -132,9 +132,9 @@
   #takeProblem (run: attempts.CallerRun, problem: attempts.ProblemAnswer): boolean {
     run.report.problem = problem.tag
     if (problem.ran === 'no') {
-      run.report.notRunTags.push(problem.requestTag)
+      run.report.notRunTags.push(...run.triesOfKey, problem.requestTag)
       run.report.outcome = CallerOutcome.refused
-      if (run.event.call === 'service-once') run.report.keys.push('')
+      if (run.event.call === 'service-once') takeNewKey(run)
       run.report.falselyRefused = this.#fitted(run)
       return problem.tag === 'budget_exhausted' || problem.tag === 'bad_request' || problem.tag === 'unauthorized'
     }
@@ -187,6 +187,12 @@
   }
 }
 
+/** A key that did not run is given up: a later try takes the prefix of the host that it goes to. */
+function takeNewKey (run: attempts.CallerRun): void {
+  run.report.keys.push('')
+  run.triesOfKey = []
+}
+
 /** A new run gives a new answer: what has come of the old one does not count. */
 function startAnew (run: attempts.CallerRun): void {
   run.stream = undefined
@@ -195,6 +201,7 @@
 }
 
 function takeLoss (run: attempts.CallerRun, reason: string): boolean {
+  if (run.event.call === 'service-once') run.triesOfKey.push(`${run.report.index}.${run.tries}`)
   run.report.problem = reason
   run.report.outcome = run.event.call === 'service-once' ? CallerOutcome.unknown : CallerOutcome.failed
   return false
--- a/packages/router-daemon/src/admitted-request.ts
+++ b/packages/router-daemon/src/admitted-request.ts
@@ -8,6 +8,8 @@
 export interface AdmissionLimits {
   clock: decisions.clock.Clock
   budgetWaitMs: number
+  /** Wait for tokens while a router that holds some does not answer. */
+  recoveryWaitMs: number
   durabilityWaitMs: number
   /** Wait for a bill to reach the journal before copies at witnesses are enough. */
   billJournalWaitMs: number
@@ -119,12 +121,14 @@
 }
 
 /** Reserves a request's worst case. Throws ProblemError where it does not fit. */
-export async function reserveWorstCase (incarnation: incarnations.Incarnation, requestId: string, question: AdmissionQuestion, waitMs: number): Promise<void> {
+export async function reserveWorstCase (incarnation: incarnations.Incarnation, requestId: string, question: AdmissionQuestion, limits: AdmissionLimits): Promise<void> {
   const outcome = await incarnation.ledger.reserve({
     key: { budget: question.budget, account: question.envelope.caller.account },
     requestId,
     tokens: question.tokens,
-    waitMs
+    waitMs: limits.budgetWaitMs,
+    recoveryWaitMs: limits.recoveryWaitMs,
+    gone: question.envelope.gone
   })
   if (outcome === ledgers.ReserveOutcome.reserved) return
   const exhausted = outcome === ledgers.ReserveOutcome.exhausted
--- a/packages/router-daemon/src/call-context.ts
+++ b/packages/router-daemon/src/call-context.ts
@@ -40,7 +40,7 @@
   const reserveSpan = runtime.telemetry.startSpan('reserve', span, { tokens: question.tokens })
   try {
     const requestId = incarnations.newRequestId(incarnation.id)
-    await admitted.reserveWorstCase(incarnation, requestId, question, context.limits.budgetWaitMs)
+    await admitted.reserveWorstCase(incarnation, requestId, question, context.limits)
     return new admitted.AdmittedRequest(requestId, incarnation, question, context.limits, leave)
   } catch (error) {
     leave()
--- a/packages/router-daemon/src/key-gate.ts
+++ b/packages/router-daemon/src/key-gate.ts
@@ -35,6 +35,7 @@
     const home = decisions.requestKey.parseHomeKey(envelope.key ?? '')
     if (envelope.key === undefined || home === undefined) throw refusal('key_required')
     const claim = decisions.journal.claimName(envelope.caller.account, envelope.key)
+    envelope.proof.checked = true
     if (home.incarnation !== present.id) throw refusalOf(await this.#stateElsewhere(home.incarnation, envelope.caller.account, envelope.key))
     if (present.refused.has(claim)) throw refusal('key_expired')
     const state = incarnations.runStateOf(present, claim)
--- a/packages/router-daemon/src/ledger.ts
+++ b/packages/router-daemon/src/ledger.ts
@@ -19,7 +19,12 @@
   key: decisions.allotmentBook.HoldingKey
   requestId: string
   tokens: number
+  /** Longest wait while every holder of the budget answers. */
   waitMs: number
+  /** Longest wait while a holder does not answer, whose tokens may come back. */
+  recoveryWaitMs: number
+  /** Aborted when the caller has gone. */
+  gone: AbortSignal
 }
 
 /** What a ledger works with. */
@@ -40,7 +45,7 @@
 
 interface Waiting {
   request: ReserveRequest
-  deadline: number
+  since: number
   resolve: (outcome: ReserveOutcome) => void
 }
 
@@ -90,7 +95,7 @@
     if (this.#tryReserve(request)) return ReserveOutcome.reserved
     return await new Promise((resolve) => {
       const work = this.#work(request.key.budget)
-      work.waiting.push({ request, resolve, deadline: this.#options.clock.now() + request.waitMs })
+      work.waiting.push({ request, resolve, since: this.#options.clock.now() })
       this.#startWork(request.key.budget, work)
     })
   }
@@ -202,8 +207,10 @@
     const now = this.#options.clock.now()
     const still: Waiting[] = []
     for (const waiting of work.waiting) {
-      const late = now >= waiting.deadline
-      if (collected !== undefined && this.#isHopeless(budget, work, waiting.request, collected)) waiting.resolve(ReserveOutcome.exhausted)
+      const { request } = waiting
+      const waitMs = collected?.complete === true ? request.waitMs : request.recoveryWaitMs
+      const late = now - waiting.since >= waitMs || request.gone.aborted
+      if (collected !== undefined && this.#isHopeless(budget, work, request, collected)) waiting.resolve(ReserveOutcome.exhausted)
       else if (late) waiting.resolve(reached ? ReserveOutcome.exhausted : ReserveOutcome.unreachable)
       else still.push(waiting)
     }
--- a/packages/router-daemon/src/resume-flow.ts
+++ b/packages/router-daemon/src/resume-flow.ts
@@ -82,12 +82,12 @@
 async function relayTaken (context: ResumeContext, call: callers.callerTypes.ResumeCall, intent: decisions.journalTypes.Intent, sink: callers.callerTypes.AnswerSink): Promise<void> {
   const incarnation = context.incarnation()
   const question: admitted.AdmissionQuestion = {
-    envelope: { caller: call.caller, budget: intent.budget, key: intent.key, repeatable: intent.repeatable, headers: {}, gone: call.gone },
+    envelope: { caller: call.caller, budget: intent.budget, key: intent.key, repeatable: intent.repeatable, proof: { checked: true }, headers: {}, gone: call.gone },
     budget: intent.budget,
     tokens: intent.reservedTokens,
     promptTokens: intent.reservedPromptTokens
   }
-  await admitted.reserveWorstCase(incarnation, call.requestId, question, context.limits.budgetWaitMs)
+  await admitted.reserveWorstCase(incarnation, call.requestId, question, context.limits)
   const request = new admitted.AdmittedRequest(call.requestId, incarnation, question, context.limits, () => {})
   const span = runtime.telemetry.startSpan('resume stream', runtime.telemetry.contextFromHeaders({}), { target: intent.target })
   try {
