Keep connections to engines, and measure latency, throughput, slopes and routing

Cause: leaving the frame loop destroyed the connection of each answer, and each answer ended with an abort. A dispatch that was withdrawn without proof is 'unknown' also at its home.

--- a/packages/proving/src/example-manifest.ts
+++ b/packages/proving/src/example-manifest.ts
@@ -16,6 +16,8 @@
   totalTokens: number
   capTokens: number
   slots: number
+  /** Budgets beside the shared one, which nobody draws on. */
+  extraBudgets?: number
 }
 
 /** Makes a manifest with one shared budget, one model and one plain service. */
@@ -29,11 +31,7 @@
     models: [{ id: 'advisor', maximumOutputTokens: 400 }],
     services: [{ id: 'registry', tokensPerCall: 10, timeoutMs: 3000 }],
     clientAccounts: deployment.accounts.map((id) => ({ id, keyHashes: [hashKey(exampleKey(id))], priority: 5, defaultBudget: 'shared' })),
-    budgets: [{
-      id: 'shared',
-      totalTokens: deployment.totalTokens,
-      members: deployment.accounts.map((clientAccount) => ({ clientAccount, capTokens: deployment.capTokens }))
-    }],
+    budgets: [budgetOf('shared', deployment), ...Array.from({ length: deployment.extraBudgets ?? 0 }, (_value, index) => extraBudget(index, deployment))],
     targets: [
       ...deployment.engines.map(target('engine', 'advisor')),
       ...deployment.services.map(target('service', 'registry'))
@@ -42,6 +40,16 @@
   }
 }
 
+function budgetOf (id: string, deployment: ExampleDeployment): operators.manifest.ManifestBudget {
+  const members = deployment.accounts.map((clientAccount) => ({ clientAccount, capTokens: deployment.capTokens }))
+  return { id, totalTokens: deployment.totalTokens, members }
+}
+
+function extraBudget (index: number, deployment: ExampleDeployment): operators.manifest.ManifestBudget {
+  const clientAccount = deployment.accounts[index % deployment.accounts.length]
+  return { id: `budget-${index}`, totalTokens: deployment.totalTokens, members: [{ clientAccount, capTokens: deployment.capTokens }] }
+}
+
 function hashKey (key: string): string {
   return crypto.createHash('sha256').update(key).digest('hex')
 }
--- a/packages/proving/src/fleet.ts
+++ b/packages/proving/src/fleet.ts
@@ -39,6 +39,10 @@
   proxyPort: number
 }
 
+/** Whether routers reach the platform and each other through relays that can be cut, or directly. */
+export const FleetPaths = { relayed: 'relayed', direct: 'direct' } as const
+export type FleetPaths = typeof FleetPaths[keyof typeof FleetPaths]
+
 /** Real routers and stand-ins as separate processes, with switches for faults. */
 export class Fleet {
   readonly deployment: traces.TraceHeader['deployment']
@@ -47,15 +51,17 @@
   readonly routers: FleetRouter[] = []
   readonly targets: FleetTarget[] = []
   readonly #seed: number
+  readonly #paths: FleetPaths
   readonly #cuts = new Set<string>()
   #platform: processes.ManagedProcess | undefined
   #platformPort = 0
   #client: platform.platformClient.PlatformClient | undefined
 
-  constructor (name: string, deployment: traces.TraceHeader['deployment'], seed: number) {
+  constructor (name: string, deployment: traces.TraceHeader['deployment'], seed: number, paths: FleetPaths = FleetPaths.relayed) {
     this.name = name
     this.deployment = deployment
     this.#seed = seed
+    this.#paths = paths
     this.accounts = Array.from({ length: deployment.accounts }, (_value, index) => `account-${index}`)
   }
 
@@ -167,7 +173,8 @@
     const process = new processes.ManagedProcess(STAND_IN_SCRIPT, this.#targetArguments(kind))
     const port = await listeningPort(process)
     const relay = new relays.Relay(port)
-    const address = `http://${LOOPBACK}:${await relay.listen()}`
+    const relayPort = await relay.listen()
+    const address = `http://${LOOPBACK}:${this.#paths === FleetPaths.direct ? port : relayPort}`
     return { id: `${kind}-${index}`, kind, relay, address, process, port, servedBefore: [], alive: true }
   }
 
@@ -204,7 +211,8 @@
       accounts: this.accounts,
       totalTokens: this.deployment.totalTokens,
       capTokens: this.deployment.capTokens,
-      slots: this.deployment.slots
+      slots: this.deployment.slots,
+      extraBudgets: this.deployment.extraBudgets
     })
   }
 
@@ -218,7 +226,7 @@
     const settings: Record<string, string | number> = {
       host: router.host,
       'availability-zone': router.availabilityZone,
-      'platform-address': router.platformAddress,
+      'platform-address': this.#paths === FleetPaths.direct ? `http://${LOOPBACK}:${this.#platformPort}` : router.platformAddress,
       'caller-listen': `${LOOPBACK}:0`,
       'peer-listen': `${LOOPBACK}:0`,
       'metrics-listen': `${LOOPBACK}:0`,
@@ -229,6 +237,7 @@
   }
 
   #routerEnvironment (router: FleetRouter): Record<string, string> {
+    if (this.#paths === FleetPaths.direct) return {}
     return { grpc_proxy: `http://${LOOPBACK}:${router.proxyPort}` }
   }
 
--- a/packages/proving/src/judge.ts
+++ b/packages/proving/src/judge.ts
@@ -1,4 +1,5 @@
 import * as decisions from '@acaciaweir/decisions'
+import * as platform from '@acaciaweir/platform'
 import * as reports from '@acaciaweir/command-line'
 import * as zod from 'zod'
 import * as callers from './trace-caller.js'
@@ -97,7 +98,7 @@
     usableBudgetShare,
     platformCalls: await fleet.platformCounts(),
     problems: countProblems(requests),
-    evidence: evidenceOf(requests, byIndex, bills)
+    evidence: await evidenceOf(fleet, requests, byIndex, bills)
   }
 }
 
@@ -175,12 +176,23 @@
   return broken
 }
 
-function evidenceOf (requests: callers.RequestReport[], byIndex: Map<number, Served[]>, bills: decisions.journalTypes.Bill[]): unknown[] {
+async function evidenceOf (fleet: fleets.Fleet, requests: callers.RequestReport[], byIndex: Map<number, Served[]>, bills: decisions.journalTypes.Bill[]): Promise<unknown[]> {
+  const journals = (await fleet.client.list(platform.objectKeys.JOURNAL_PREFIX)).map((object) => object.value as decisions.journalTypes.Journal)
   const ranTwice = (request: callers.RequestReport): boolean => request.call === 'service-once' && (byIndex.get(request.index)?.length ?? 0) > 1
   const billsOf = (request: callers.RequestReport): decisions.journalTypes.Bill[] => bills.filter((bill) => bill.account === request.account && request.keys.includes(bill.key))
   const unbilled = (request: callers.RequestReport): boolean => request.outcome === callers.CallerOutcome.whole && billsOf(request).length === 0
   const suspicious = requests.filter((request) => ranTwice(request) || unbilled(request) || billsOf(request).length > 1 || request.wrongAnswer || request.cutAsWhole)
-  return suspicious.slice(0, EVIDENCE_LIMIT).map((request) => ({ request, served: byIndex.get(request.index) ?? [], bills: billsOf(request) }))
+  return suspicious.slice(0, EVIDENCE_LIMIT).map((request) => ({ request, served: byIndex.get(request.index) ?? [], bills: billsOf(request), journals: journalsOf(request, byIndex.get(request.index) ?? [], journals) }))
+}
+
+/** The journals of the incarnations that a request's keys and runs name. */
+function journalsOf (request: callers.RequestReport, served: Served[], journals: decisions.journalTypes.Journal[]): unknown[] {
+  const named = (journal: decisions.journalTypes.Journal): boolean => [...request.keys, ...served.map((run) => run.requestId)].some((text) => text.startsWith(journal.incarnation))
+  return journals.filter(named).map(({ spent: _spent, open, bills: _bills, claims, ...rest }) => ({
+    ...rest,
+    open: Object.keys(open),
+    claims: request.keys.map((key) => claims[decisions.journal.claimName(request.account, key)])
+  }))
 }
 
 function countProblems (requests: callers.RequestReport[]): Record<string, number> {
--- a/packages/proving/src/peer-proxy.ts
+++ b/packages/proving/src/peer-proxy.ts
@@ -6,6 +6,8 @@
   readonly #server = http.createServer()
   readonly #sockets = new Map<net.Socket, string>()
   readonly #isCut: (address: string) => boolean
+  /** Bytes passed on, in both directions. */
+  bytes = 0
 
   constructor (isCut: (address: string) => boolean) {
     this.#isCut = isCut
@@ -46,6 +48,7 @@
 
   #track (socket: net.Socket, other: net.Socket, address: string): void {
     this.#sockets.set(socket, address)
+    socket.on('data', (chunk: Buffer) => { this.bytes += chunk.length })
     socket.on('error', () => { other.destroy() })
     socket.on('close', () => {
       this.#sockets.delete(socket)
--- a/packages/proving/src/relay.ts
+++ b/packages/proving/src/relay.ts
@@ -16,6 +16,8 @@
   readonly #links = new Set<Link>()
   #targetPort: number
   #mode: RelayMode = RelayMode.pass
+  /** Bytes passed on, in both directions. */
+  bytes = 0
 
   constructor (targetPort: number) {
     this.#targetPort = targetPort
@@ -61,6 +63,7 @@
     const outbound = net.connect(this.#targetPort, '127.0.0.1')
     const link = { inbound, outbound, muted: false }
     this.#links.add(link)
+    for (const socket of [inbound, outbound]) socket.on('data', (chunk) => { this.bytes += chunk.length })
     linkSockets(link, () => this.#mode === RelayMode.silent, () => this.#links.delete(link))
   }
 }
--- a/packages/proving/src/trace-format.ts
+++ b/packages/proving/src/trace-format.ts
@@ -39,6 +39,8 @@
   slots: zod.int().min(1).default(32),
   firstTokenMs: count.default(20),
   tokenIntervalMs: count.default(5),
+  /** Budgets beside the shared one, which nobody draws on. */
+  extraBudgets: count.default(0),
   routerSettings: zod.record(zod.string(), zod.union([zod.string(), zod.number()])).default({})
 })
 
--- a/packages/router-daemon/src/admitted-request.ts
+++ b/packages/router-daemon/src/admitted-request.ts
@@ -66,7 +66,10 @@
     this.#openedAtMs = this.#limits.clock.wallNow()
     const durability = await this.incarnation.log.appendDispatch(this.intent(), this.#limits.durabilityWaitMs)
     if (durability === logs.Durability.durable) return
+    const claim = decisions.journal.claimName(this.#question.envelope.caller.account, this.#key)
+    this.incarnation.unproved.add(claim)
     const withdrawn = await this.#withdraw()
+    if (withdrawn) this.incarnation.unproved.delete(claim)
     throw new decisions.problem.ProblemError({ tag: withdrawn ? 'not_durable' : 'withdrawal_unknown', step: 'record dispatch', peer: decisions.problem.Peer.router, detail: durability })
   }
 
--- a/packages/router-daemon/src/frame-relay.ts
+++ b/packages/router-daemon/src/frame-relay.ts
@@ -68,7 +68,6 @@
     } finally {
       clearTimeout(limit)
       this.#envelope.gone.removeEventListener('abort', stopAfterGrace)
-      this.#stop.abort()
     }
   }
 
--- a/packages/router-daemon/src/incarnation.ts
+++ b/packages/router-daemon/src/incarnation.ts
@@ -12,6 +12,8 @@
   admitting: Set<string>
   /** Keys that another router was told did not run; they never run here. */
   refused: Set<string>
+  /** Keys whose dispatch was withdrawn without proof that others will not find its record. */
+  unproved: Set<string>
 }
 
 /** Random bytes in an incarnation's name. */
@@ -34,6 +36,7 @@
 
 /** Whether a request that may run at most once has run at this incarnation; undefined where it was never admitted. */
 export function runStateOf (incarnation: Incarnation, claim: string): decisions.journalTypes.RunState | undefined {
+  if (incarnation.unproved.has(claim)) return decisions.journalTypes.RunState.unknown
   if (incarnation.admitting.has(claim)) return decisions.journalTypes.RunState.running
   return incarnation.log.claimState(claim)
 }
--- a/packages/router-daemon/src/router.ts
+++ b/packages/router-daemon/src/router.ts
@@ -204,7 +204,7 @@
       addressOf: (incarnation) => this.#liveAddress(incarnation),
       noteBudget: (budget) => { log.noteBudget(budget) }
     })
-    const incarnation = { id, log, ledger, admitting: new Set<string>(), refused: new Set<string>() }
+    const incarnation = { id, log, ledger, admitting: new Set<string>(), refused: new Set<string>(), unproved: new Set<string>() }
     this.#own.set(id, incarnation)
     return incarnation
   }
--- a/packages/runtime/src/sse.ts
+++ b/packages/runtime/src/sse.ts
@@ -12,11 +12,14 @@
   return `${id}data: ${event.data}\n\n`
 }
 
-/** Reads events as they come. Ends with the stream; throws where the stream is cut. */
+/**
+ * Reads events as they come. Ends with the stream; throws where the stream is cut.
+ * A reader that stops early has to drain or destroy the stream itself.
+ */
 export async function * readEvents (stream: http.IncomingMessage): AsyncGenerator<ServerSentEvent> {
   stream.setEncoding('utf8')
   let rest = ''
-  for await (const chunk of stream) {
+  for await (const chunk of stream.iterator({ destroyOnReturn: false })) {
     rest += chunk as string
     let end = rest.indexOf('\n\n')
     while (end >= 0) {
--- a/packages/stand-ins/src/engine-server.ts
+++ b/packages/stand-ins/src/engine-server.ts
@@ -27,6 +27,8 @@
   promptTokens: number
   completionTokens: number
   startedAt: number
+  /** True where the prompt's beginning was in the cache, so that the first token came sooner. */
+  prefixReused: boolean
 }
 
 interface RequestBody {
@@ -53,6 +55,15 @@
   next: number
 }
 
+/** Characters of a prompt that the prefix cache goes by. */
+const PREFIX_CHARACTERS = 256
+
+/** Beginnings that the prefix cache holds. */
+const PREFIX_CACHE_SIZE = 6
+
+/** Share of the time to the first token that is left where the beginning is cached. */
+const REUSED_PREFILL_SHARE = 0.3
+
 /** The stand-in of a model engine: slots, priorities, resume, cancel, lagging load. */
 export class EngineServer {
   readonly served: ServedRequest[] = []
@@ -61,6 +72,8 @@
   readonly #streams = new Map<string, EngineStream>()
   readonly #queue: EngineStream[] = []
   readonly #loadHistory: Array<{ at: number, running: number, waiting: number }> = []
+  /** Cached beginnings of prompts, the one used last at the end. */
+  readonly #prefixes = new Set<string>()
   readonly #startedAt = performance.now()
   #running = 0
   leaving = false
@@ -166,15 +179,24 @@
 
   #run (stream: EngineStream): void {
     this.#running += 1
+    const prefixReused = this.#usePrefix(stream.body.messages[0].content.slice(0, PREFIX_CHARACTERS))
     stream.served = {
       requestId: stream.requestId,
       tag: stream.body.user ?? '',
       promptTokens: answer.promptTokens(stream.body.messages),
       completionTokens: 0,
-      startedAt: Date.now()
+      startedAt: Date.now(),
+      prefixReused
     }
     this.served.push(stream.served)
-    setTimeout(() => { this.#produce(stream) }, this.options.firstTokenMs)
+    setTimeout(() => { this.#produce(stream) }, this.options.firstTokenMs * (prefixReused ? REUSED_PREFILL_SHARE : 1))
+  }
+
+  #usePrefix (prefix: string): boolean {
+    const reused = this.#prefixes.delete(prefix)
+    this.#prefixes.add(prefix)
+    if (this.#prefixes.size > PREFIX_CACHE_SIZE) this.#prefixes.delete([...this.#prefixes][0])
+    return reused
   }
 
   #produce (stream: EngineStream): void {
--- a/packages/targets/src/engine-client.ts
+++ b/packages/targets/src/engine-client.ts
@@ -96,18 +96,26 @@
 
   async * #stream (step: string, call: runtime.httpCall.HttpCall): AsyncGenerator<types.EngineFrame> {
     let anyFrame = false
+    let complete = false
+    let response: http.IncomingMessage | undefined
     try {
-      const response = await runtime.httpCall.openCall(call)
+      response = await runtime.httpCall.openCall(call)
       if (response.statusCode !== 200) {
         throw new errors.TargetError(this.target, step, `status ${response.statusCode ?? 0}`, await refusalKnowledge(response))
       }
       for await (const event of runtime.sse.readEvents(response)) {
         if (event.id === undefined) continue
         anyFrame = true
-        yield parseFrame(event.id, event.data)
+        const frame = parseFrame(event.id, event.data)
+        complete = frame.usage !== undefined
+        yield frame
       }
     } catch (error) {
       throw this.#failure(step, error as Error, anyFrame)
+    } finally {
+      // A whole answer leaves its connection to the next request.
+      if (complete) response?.resume()
+      else response?.destroy()
     }
   }
 
