Do not send what was recorded before a pause

Change: a record older than 2 s at dispatch is made anew, which fails once sealed; the stand-in engine refuses a request that was cancelled before it came.

--- a/packages/proving/src/trace-caller.ts
+++ b/packages/proving/src/trace-caller.ts
@@ -35,6 +35,8 @@
   /** Tags of tries that were told that they did not run. */
   notRunTags: string[]
   tokens: number
+  /** Each try: milliseconds since the first, host and result. */
+  trail: string[]
 }
 
 /** Limits that the callers' view of the budget is checked against. */
@@ -98,7 +100,8 @@
       cutAsWhole: false,
       keys: [],
       notRunTags: [],
-      tokens: 0
+      tokens: 0,
+      trail: []
     }
     return { event, report, messages, worst, bearer: examples.exampleKey(account), tries: 0, triesOfKey: [], stream: undefined, text: '', offset: 0 }
   }
@@ -109,7 +112,9 @@
     if (hosts.length === 0) return false
     const host = hosts[run.tries % hosts.length]
     run.tries += 1
+    const sentAt = this.#clock.now()
     const result = await attempts.tryOnce(run, host)
+    run.report.trail.push(`${Math.round(sentAt)}-${Math.round(this.#clock.now())} ${host.keyPrefix} ${run.stream ?? ''} ${describe(result)}`)
     if (result.kind !== 'answered') this.#hosts.delete(run.report.account)
     return pattern.match(result)
       .with({ kind: 'answered' }, (answered) => this.#takeAnswer(run, answered))
@@ -200,6 +205,14 @@
   run.offset = 0
 }
 
+function describe (result: attempts.AttemptResult): string {
+  return pattern.match(result)
+    .with({ kind: 'answered' }, () => 'answered')
+    .with({ kind: 'problem' }, ({ tag, ran }) => `${tag}, ran: ${ran}`)
+    .with({ kind: 'lost' }, ({ reason }) => `lost: ${reason}`)
+    .exhaustive()
+}
+
 function takeLoss (run: attempts.CallerRun, reason: string): boolean {
   if (run.event.call === 'service-once') run.triesOfKey.push(`${run.report.index}.${run.tries}`)
   run.report.problem = reason
--- a/packages/router-daemon/src/admitted-request.ts
+++ b/packages/router-daemon/src/admitted-request.ts
@@ -4,6 +4,9 @@
 import * as ledgers from './ledger.js'
 import * as logs from './record-log.js'
 
+/** Longest time from a record to its dispatch, in milliseconds. Less than the silence after which a router is sealed. */
+const DISPATCH_VALIDITY_MS = 2000
+
 /** Limits of waiting during admission and at the end, in milliseconds. */
 export interface AdmissionLimits {
   clock: decisions.clock.Clock
@@ -64,7 +67,7 @@
     this.#target = target
     this.#opened = true
     this.#openedAtMs = this.#limits.clock.wallNow()
-    const durability = await this.incarnation.log.appendDispatch(this.intent(), this.#limits.durabilityWaitMs)
+    const durability = await this.#record()
     if (durability === logs.Durability.durable) return
     const claim = decisions.journal.claimName(this.#question.envelope.caller.account, this.#key)
     this.incarnation.unproved.add(claim)
@@ -73,6 +76,19 @@
     throw new decisions.problem.ProblemError({ tag: withdrawn ? 'not_durable' : 'withdrawal_unknown', step: 'record dispatch', peer: decisions.problem.Peer.router, detail: durability })
   }
 
+  /**
+   * Makes the record durable. One that became so too long ago, because this process was paused, is made anew:
+   * others may meanwhile have settled the request as never run.
+   */
+  async #record (): Promise<logs.Durability> {
+    const { clock, durabilityWaitMs } = this.#limits
+    for (;;) {
+      const startedAt = clock.now()
+      const durability = await this.incarnation.log.appendDispatch(this.intent(), durabilityWaitMs)
+      if (durability !== logs.Durability.durable || clock.now() - startedAt <= DISPATCH_VALIDITY_MS) return durability
+    }
+  }
+
   /** Takes back the record of a dispatch that will not happen. False where others may find the record without this. */
   async #withdraw (): Promise<boolean> {
     const sequence = this.closeNotRun()
--- a/packages/router-daemon/src/router-metrics.ts
+++ b/packages/router-daemon/src/router-metrics.ts
@@ -17,6 +17,9 @@
 /** Bounds of the latency histogram, in seconds. */
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.02, 0.1, 0.3, 0.91, 2, 5, 15, 60]
 
+/** Interval at which the event loop's delay is sampled, in milliseconds. */
+const EVENT_LOOP_PRECISION_MS = 1000
+
 /** The router's metrics and the port on which they are read. */
 export class RouterMetrics {
   readonly #registry = new metrics.Registry()
@@ -39,7 +42,7 @@
     this.#gauge('acaciaweir_unsettled_requests', 'Requests whose target has not said what became of them', source.unsettled)
     this.#gauge('acaciaweir_journal_age_milliseconds', 'Time since the journal was last written', source.journalAgeMs)
     this.#platformCalls(source.platformCalls)
-    metrics.collectDefaultMetrics({ register: this.#registry })
+    metrics.collectDefaultMetrics({ register: this.#registry, eventLoopMonitoringPrecision: EVENT_LOOP_PRECISION_MS })
   }
 
   /** Counts a request. The outcome is `served` or the tag of a problem. */
--- a/packages/router-daemon/src/target-directory.ts
+++ b/packages/router-daemon/src/target-directory.ts
@@ -5,7 +5,7 @@
 import type * as agreements from './agreement.js'
 
 /** Time between two load reports of one target, in milliseconds. */
-const LOAD_INTERVAL_MS = 500
+const LOAD_INTERVAL_MS = 1000
 
 /** Failed contacts in a row after which a target counts as silent. */
 const SILENT_AFTER_FAILURES = 2
--- a/packages/stand-ins/src/engine-server.ts
+++ b/packages/stand-ins/src/engine-server.ts
@@ -71,6 +71,8 @@
   readonly #server = new runtime.httpServer.HttpServer((request, response) => this.#handle(request, response))
   readonly #streams = new Map<string, EngineStream>()
   readonly #queue: EngineStream[] = []
+  /** Requests that were cancelled before they came; they are refused when they do. */
+  readonly #cancelledEarly = new Set<string>()
   readonly #loadHistory: Array<{ at: number, running: number, waiting: number }> = []
   /** Cached beginnings of prompts, the one used last at the end. */
   readonly #prefixes = new Set<string>()
@@ -114,7 +116,7 @@
 
   #start (request: http.IncomingMessage, body: RequestBody, response: http.ServerResponse): void {
     const requestId = String(request.headers['x-request-id'])
-    if (this.#streams.has(requestId)) { runtime.httpServer.sendJson(response, 409, {}); return }
+    if (this.#streams.has(requestId) || this.#cancelledEarly.has(requestId)) { runtime.httpServer.sendJson(response, 409, {}); return }
     const stream: EngineStream = {
       requestId,
       incarnation: incarnationOf(request),
@@ -142,7 +144,11 @@
 
   #cancel (requestId: string, incarnation: string, response: http.ServerResponse): void {
     const stream = this.#streams.get(requestId)
-    if (stream === undefined) { runtime.httpServer.sendJson(response, 200, { kind: 'never-ran', rememberedMs: this.#rememberedMs() }); return }
+    if (stream === undefined) {
+      this.#cancelledEarly.add(requestId)
+      runtime.httpServer.sendJson(response, 200, { kind: 'never-ran', rememberedMs: this.#rememberedMs() })
+      return
+    }
     if (stream.incarnation !== incarnation && stream.readers.size > 0 && !stream.ended) {
       runtime.httpServer.sendJson(response, 200, { kind: 'attached', incarnation: stream.incarnation })
       return
--- a/packages/targets/src/engine-client.ts
+++ b/packages/targets/src/engine-client.ts
@@ -125,11 +125,12 @@
   }
 }
 
-/** A target that answers 429 or 503 has not taken the request. */
+/** Statuses by which an engine says that it has not taken a request: cancelled before it came, queue full, leaving. */
+const NOT_TAKEN_STATUSES = new Set([409, 429, 503])
+
 async function refusalKnowledge (response: http.IncomingMessage): Promise<decisions.retryRules.DispatchKnowledge> {
   response.resume()
-  const refused = response.statusCode === 429 || response.statusCode === 503
-  return refused ? decisions.retryRules.DispatchKnowledge.neverSent : decisions.retryRules.DispatchKnowledge.sentNoAnswer
+  return NOT_TAKEN_STATUSES.has(response.statusCode ?? 0) ? decisions.retryRules.DispatchKnowledge.neverSent : decisions.retryRules.DispatchKnowledge.sentNoAnswer
 }
 
 function knowledgeOf (error: Error, anyFrame: boolean): decisions.retryRules.DispatchKnowledge {
