--- a/packages/decisions/src/membership.ts
+++ b/packages/decisions/src/membership.ts
@@ -23,7 +23,7 @@
 
 interface MemberState {
   member: Member
-  /** True once the member itself has sent a message; only then does its silence mean anything. */
+  /** True while this router sends the member heartbeats; only then does its silence mean anything. */
   monitored: boolean
   heardAt: number
   /** Until when another router's suspicion of a member that is not monitored here counts. */
@@ -48,7 +48,7 @@
     const leaving = member.leaving || (known?.member.leaving ?? false)
     this.#members.set(member.incarnation, {
       member: { ...member, leaving },
-      monitored: true,
+      monitored: known?.monitored ?? false,
       heardAt: now,
       suspectedUntil: -Infinity,
       journalWrites: known?.journalWrites ?? 0,
@@ -56,10 +56,26 @@
     })
   }
 
-  /** Notes a member that should send heartbeats here from now on. */
-  monitor (incarnation: string): void {
-    const known = this.#members.get(incarnation)
-    if (known !== undefined) known.monitored = true
+  /**
+   * Chooses the members that this router has to watch: those for which it is among the first `watcherCount` live routers
+   * in rendezvous order. So each member always has that many live watchers.
+   */
+  watch (self: string, watcherCount: number, now: number): Member[] {
+    const watchers = [self, ...this.live(now).map((member) => member.incarnation)]
+    const watched: Member[] = []
+    for (const [incarnation, state] of this.#members) {
+      const order = hashing.rendezvousOrder(watchers.filter((watcher) => watcher !== incarnation), incarnation, (watcher) => watcher)
+      const own = !state.ended && order.slice(0, watcherCount).includes(self)
+      if (own && !state.monitored) state.heardAt = now
+      state.monitored = own
+      if (own) watched.push(state.member)
+    }
+    return watched
+  }
+
+  /** Members at a host that belong to another process than the given one. */
+  othersAt (host: string, process: string): Member[] {
+    return this.#select((state) => state.member.host === host && state.member.process !== process)
   }
 
   /** Notes members that another router suspects. */
@@ -119,11 +135,6 @@
     return this.#select((state) => state.monitored && now - state.heardAt > this.#policy.deadAfterMs)
   }
 
-  /** True where a host runs another process than the given one now, so that the given one has ended. */
-  isReplaced (host: string, process: string, now: number): boolean {
-    return this.#select((state) => state.monitored && state.member.host === host && state.member.process !== process && !this.#isSuspected(state, now)).length > 0
-  }
-
   /** Time since a member's last sign of life, in milliseconds. */
   silenceMs (incarnation: string, now: number): number {
     return now - (this.#members.get(incarnation)?.heardAt ?? -Infinity)
--- a/packages/decisions/test/rules.test.ts
+++ b/packages/decisions/test/rules.test.ts
@@ -118,13 +118,28 @@
   it('suspects, then declares dead, a member that has gone silent', () => {
     const known = new membership.Membership({ suspectAfterMs: 10, deadAfterMs: 20 })
     known.heard(member('x', 'b'), 100)
+    known.watch('self', 3, 100)
     const states = [105, 115, 125].map((now) => [known.live(now).length, known.silent(now).length, known.dead(now).length])
     chai.expect(states).to.deep.equal([[1, 0, 0], [0, 1, 0], [0, 1, 1]])
   })
 
+  it('gives every member the same number of watchers, and new ones when they fall silent', () => {
+    const names = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h']
+    const watchersOf = (alive: string[], watched: string): string[] => alive.filter((self) => {
+      const known = new membership.Membership({ suspectAfterMs: 10, deadAfterMs: 20 })
+      for (const other of names) if (other !== self) known.heard(member(other, 'z'), alive.includes(other) ? 100 : 0)
+      known.suspectedElsewhere(names.filter((name) => !alive.includes(name)), 100)
+      return known.watch(self, 3, 100).some((entry) => entry.incarnation === watched)
+    })
+    const first = watchersOf(names.filter((name) => name !== 'h'), 'h')
+    chai.expect(first).to.have.length(3)
+    chai.expect(watchersOf(names.filter((name) => name !== 'h' && !first.includes(name)), 'h')).to.have.length(3)
+  })
+
   it('takes a journal that is still written as a sign of life', () => {
     const known = new membership.Membership({ suspectAfterMs: 10, deadAfterMs: 20 })
     known.heard(member('x', 'b'), 100)
+    known.watch('self', 3, 100)
     known.journalSeen(member('x', 'b'), 7, 118)
     known.journalSeen(member('x', 'b'), 8, 119)
     chai.expect(known.dead(130)).to.have.length(0)
--- a/packages/router-daemon/src/configuration-task.ts
+++ b/packages/router-daemon/src/configuration-task.ts
@@ -6,7 +6,7 @@
 import * as agreements from './agreement.js'
 
 /** Longest watch of the configuration head, in milliseconds. Each watch is followed by a read. */
-const WATCH_WAIT_MS = 2000
+const WATCH_WAIT_MS = 4000
 
 /** Pause after the platform did not answer, in milliseconds. */
 const RETRY_PAUSE_MS = 300
--- a/packages/router-daemon/src/membership-task.ts
+++ b/packages/router-daemon/src/membership-task.ts
@@ -6,8 +6,11 @@
 /** Time between two reads of the platform's registrations and host list, in milliseconds. */
 const PLATFORM_INTERVAL_MS = 2000
 
-/** Routers that one router sends heartbeats to. */
-const NEIGHBOUR_COUNT = 8
+/** Live routers that send heartbeats to any one router. */
+const WATCHER_COUNT = 3
+
+/** Registrations for which one read is due each interval; a larger fleet is read less often. */
+const REGISTRATIONS_PER_INTERVAL = 4
 
 /** What a membership task works with. */
 export interface MembershipOptions {
@@ -31,6 +34,7 @@
 export class MembershipTask {
   readonly #options: MembershipOptions
   readonly #loops: runtime.task.PeriodicTask[] = []
+  #turn = 0
 
   constructor (options: MembershipOptions) {
     this.#options = options
@@ -38,7 +42,8 @@
 
   start (): void {
     this.#loops.push(this.#periodic(this.#options.heartbeatIntervalMs, 'send heartbeats', () => this.#sendHeartbeats()))
-    this.#loops.push(this.#periodic(PLATFORM_INTERVAL_MS, 'read registrations', () => this.#readRegistrations()))
+    this.#loops.push(this.#periodic(PLATFORM_INTERVAL_MS, 'read registrations', () => this.#readRegistrationsInTurn()))
+    this.#loops.push(this.#periodic(PLATFORM_INTERVAL_MS, 'read suspects', () => this.#readSuspects()))
     this.#loops.push(this.#periodic(PLATFORM_INTERVAL_MS, 'read host list', () => this.#readHostList()))
   }
 
@@ -46,6 +51,19 @@
     await Promise.all(this.#loops.map((loop) => loop.stop()))
   }
 
+  /** True where a later process answers at a host, which proves that the given one has ended. */
+  async isReplaced (host: string, process: string): Promise<boolean> {
+    for (const member of this.#options.membership.othersAt(host, process)) {
+      try {
+        const reply = await this.#options.peers.call(member.peerAddress, 'Heartbeat', this.#options.self(), this.#options.heartbeatIntervalMs)
+        if (reply.host === host && reply.process !== process) return true
+      } catch {
+        // A process that does not answer proves nothing.
+      }
+    }
+    return false
+  }
+
   /** Registers an incarnation, so that others find it. Throws PlatformUnavailable. */
   async register (member: decisions.membership.Member): Promise<void> {
     await platform.conditionalUpdate.updateObject<decisions.membership.Member, undefined>(
@@ -67,10 +85,8 @@
 
   async #sendHeartbeats (): Promise<void> {
     const self = this.#options.self()
-    const members = decisions.hashing.rendezvousOrder(this.#options.membership.known(), self.incarnation, (member) => member.incarnation)
-    const neighbours = members.slice(0, NEIGHBOUR_COUNT)
-    for (const member of neighbours) this.#options.membership.monitor(member.incarnation)
-    await Promise.all(neighbours.map((member) => this.#sendHeartbeat(member, self)))
+    const watched = this.#options.membership.watch(self.incarnation, WATCHER_COUNT, this.#options.clock.now())
+    await Promise.all(watched.map((member) => this.#sendHeartbeat(member, self)))
   }
 
   async #sendHeartbeat (member: decisions.membership.Member, self: routers.peerMessages.HeartbeatMessage): Promise<void> {
@@ -82,6 +98,12 @@
     }
   }
 
+  async #readRegistrationsInTurn (): Promise<void> {
+    this.#turn += 1
+    const period = Math.ceil(this.#options.membership.known().length / REGISTRATIONS_PER_INTERVAL)
+    if (this.#turn % Math.max(1, period) === 0) await this.#readRegistrations()
+  }
+
   async #readRegistrations (): Promise<void> {
     const { membership, clock } = this.#options
     const self = this.#options.self()
@@ -97,7 +119,6 @@
     for (const member of membership.known()) {
       if (!listed.has(member.incarnation)) await this.#checkUnlisted(member)
     }
-    await this.#readSuspects()
   }
 
   /** A member without a registration has been folded, unless it has only just registered. */
--- a/packages/router-daemon/src/recovery.ts
+++ b/packages/router-daemon/src/recovery.ts
@@ -17,7 +17,7 @@
   logger: runtime.logging.Logger
   settler: settlers.IntentSettler
   /** True where a host runs a later process than the given one, which has thus ended. */
-  isReplaced: (host: string, process: string) => boolean
+  isReplaced: (host: string, process: string) => Promise<boolean>
 }
 
 /** How far the recovery of one ended incarnation has come. */
@@ -66,11 +66,11 @@
 
   /** True where the owner and all witnesses that did not answer have provably ended, so that waiting for their records is in vain. */
   async #areRecordsLost (sealed: Journal, tails: ReadonlyMap<string, unknown>): Promise<boolean> {
-    if (!this.#options.isReplaced(sealed.host, sealed.process)) return false
+    if (!await this.#options.isReplaced(sealed.host, sealed.process)) return false
     for (const witness of sealed.witnesses) {
       if (tails.has(witness)) continue
       const journal = await this.#readJournal(witness)
-      if (journal === undefined || !this.#options.isReplaced(journal.host, journal.process)) return false
+      if (journal === undefined || !await this.#options.isReplaced(journal.host, journal.process)) return false
     }
     return true
   }
--- a/packages/router-daemon/src/router.ts
+++ b/packages/router-daemon/src/router.ts
@@ -293,9 +293,9 @@
     void this.#configuration.peerHas(member.peerAddress, member.generation)
   }
 
-  #isReplaced (host: string, process: string): boolean {
+  async #isReplaced (host: string, process: string): Promise<boolean> {
     if (host === this.#settings.host) return process !== this.#process
-    return this.#membership.isReplaced(host, process, this.#clock.now())
+    return await this.#membershipTask.isReplaced(host, process)
   }
 
   #liveAddress (incarnation: string): string | undefined {
