--- /dev/null
+++ b/packages/proving/src/embedded-fleet.ts
@@ -0,0 +1,78 @@
+import type * as operators from '@acaciaweir/operators'
+import * as daemon from '@acaciaweir/router-daemon'
+import * as platform from '@acaciaweir/platform'
+import * as runtime from '@acaciaweir/runtime'
+import * as standIns from '@acaciaweir/stand-ins'
+import * as timers from 'node:timers/promises'
+import * as examples from './example-manifest.js'
+
+const LOOPBACK = '127.0.0.1'
+
+/** Platform, one engine and routers, all in this process. */
+export class EmbeddedFleet {
+  readonly engine = new standIns.engineServer.EngineServer()
+  readonly routers: daemon.router.Router[] = []
+  readonly #platform = new standIns.platformServer.PlatformServer(1)
+  #client: platform.platformClient.PlatformClient | undefined
+  #platformAddress = ''
+  #engineAddress = ''
+
+  get client (): platform.platformClient.PlatformClient {
+    if (this.#client === undefined) throw new Error('the fleet has not been started')
+    return this.#client
+  }
+
+  /** Starts the stand-ins and as many routers as availability zones are named. */
+  async start (availabilityZones: string[]): Promise<void> {
+    this.#platformAddress = `http://${LOOPBACK}:${await this.#platform.listen(0, LOOPBACK)}`
+    this.#engineAddress = `http://${LOOPBACK}:${await this.engine.listen(0, LOOPBACK)}`
+    this.#client = new platform.httpPlatformClient.HttpPlatformClient({ address: this.#platformAddress, timeoutMs: 1000 })
+    for (const [index, availabilityZone] of availabilityZones.entries()) {
+      const router = this.#createRouter(`host-${index + 1}`, availabilityZone)
+      this.routers.push(router)
+      await router.start()
+    }
+  }
+
+  /** A manifest with one client account and one budget. */
+  manifest (account: string, totalTokens: number, capTokens: number): operators.manifest.Manifest {
+    return examples.exampleManifest({
+      name: 'embedded',
+      engines: [{ id: 'advisor-1', address: this.#engineAddress }],
+      services: [],
+      availabilityZones: ['zone-a'],
+      accounts: [account],
+      totalTokens,
+      capTokens,
+      slots: 8
+    })
+  }
+
+  async becomeReady (): Promise<void> {
+    for (const router of this.routers) {
+      while (router.notReadyReason() !== undefined) await timers.setTimeout(10)
+    }
+  }
+
+  /** Ends the routers gracefully; the platform stays for reports. */
+  async shutDownRouters (): Promise<void> {
+    for (const router of this.routers) await router.shutDown()
+  }
+
+  close (): void {
+    this.engine.close()
+    this.#platform.close()
+  }
+
+  #createRouter (host: string, availabilityZone: string): daemon.router.Router {
+    const settings = daemon.settings.checkSettings({
+      host,
+      availabilityZone,
+      platformAddress: this.#platformAddress,
+      callerListen: `${LOOPBACK}:0`,
+      peerListen: `${LOOPBACK}:0`,
+      metricsListen: `${LOOPBACK}:0`
+    })
+    return new daemon.router.Router(settings, runtime.logging.createLogger('silent'))
+  }
+}
