--- a/packages/router-daemon/src/admitted-request.ts
+++ b/packages/router-daemon/src/admitted-request.ts
@@ -95,7 +95,7 @@
     const durability = await this.incarnation.log.durable(sequence, this.#limits.durabilityWaitMs)
     if (durability === logs.Durability.durable) return true
     if (durability === logs.Durability.late) return false
-    return await this.incarnation.log.dropSealed(this.requestId, this.#limits.durabilityWaitMs)
+    return await this.incarnation.log.sealedJournal.drop(this.requestId, this.#limits.durabilityWaitMs)
   }
 
   /** Ends a request that did not run, and frees its reservation. Returns the sequence of its last record; 0 without one. */
@@ -118,7 +118,7 @@
     await this.incarnation.log.journaledBy(sequence, this.#limits.billJournalWaitMs)
     const durability = await this.incarnation.log.durable(sequence, this.#limits.requestTimeoutMs)
     if (durability === logs.Durability.durable) return
-    if (durability === logs.Durability.sealed) { await this.incarnation.log.settleSealed(bill); return }
+    if (durability === logs.Durability.sealed) { await this.incarnation.log.sealedJournal.settle(bill); return }
     throw new decisions.problem.ProblemError({ tag: 'bill_not_durable', step: 'record bill', peer: decisions.problem.Peer.router })
   }
 
--- a/packages/router-daemon/src/record-log.ts
+++ b/packages/router-daemon/src/record-log.ts
@@ -3,6 +3,7 @@
 import * as routers from '@acaciaweir/routers'
 import * as runtime from '@acaciaweir/runtime'
 import * as bills from './bill-segments.js'
+import * as sealedJournals from './sealed-journal.js'
 
 /** Bills in a journal above which they are moved to a segment. */
 const BILLS_PER_SEGMENT = 500
@@ -64,7 +65,8 @@
   readonly #journal: decisions.journalTypes.Journal
   readonly #key: string
   readonly #stop = new AbortController()
-  readonly #lateBills = new Map<string, Promise<void>>()
+  /** What is left to do in the journal once it is sealed. */
+  readonly sealedJournal: sealedJournals.SealedJournal
   #version: string | undefined
   #journaled = 0
   #tail: decisions.journalTypes.LogRecord[] = []
@@ -89,6 +91,7 @@
     this.#options = options
     this.#journal = decisions.journal.startJournal({ ...options.owner, peerAddress: '' }, [])
     this.#key = platform.objectKeys.journalKey(options.owner.incarnation)
+    this.sealedJournal = new sealedJournals.SealedJournal({ key: this.#key, platform: options.platform, clock: options.clock, pauseMs: options.journalIntervalMs })
   }
 
   /** Starts writing the journal. */
@@ -107,11 +110,6 @@
     return this.#version !== undefined
   }
 
-  /** Highest record sequence that the journal in the platform contains. */
-  get journaled (): number {
-    return this.#journaled
-  }
-
   /** Incarnations that hold copies, or will once the journal names them. */
   get witnesses (): string[] {
     return this.#journal.witnesses
@@ -127,11 +125,6 @@
     return this.#journal.claims[claim]
   }
 
-  /** An open request of this incarnation. */
-  openIntent (requestId: string): decisions.journalTypes.Intent | undefined {
-    return this.#journal.open[requestId]
-  }
-
   /** Notes that a budget's page may list this incarnation. */
   noteBudget (budget: string): void {
     if (this.#journal.budgets.includes(budget)) return
@@ -201,29 +194,6 @@
     this.#copyToAll()
   }
 
-  /**
-   * Records the bill of a request whose journal another router has sealed.
-   * Resolves when the sealed journal contains a bill for the request.
-   */
-  async settleSealed (bill: decisions.journalTypes.Bill): Promise<void> {
-    const known = this.#lateBills.get(bill.requestId)
-    if (known !== undefined) { await known; return }
-    const settling = this.#settleSealed(bill)
-    this.#lateBills.set(bill.requestId, settling)
-    await settling
-  }
-
-  /** Takes an undispatched request out of a sealed journal. False where it was settled as run, or the time is over. */
-  async dropSealed (requestId: string, waitMs: number): Promise<boolean> {
-    const deadline = this.#options.clock.now() + waitMs
-    while (this.#options.clock.now() < deadline) {
-      const outcome = { dropped: false }
-      if (await this.#tryUpdate((present) => dropInEnded(present, requestId, outcome))) return outcome.dropped
-      await this.#options.clock.sleep(this.#options.journalIntervalMs)
-    }
-    return false
-  }
-
   /** Writes what is left and stops. The last write is tried until it succeeds or the time is over. */
   async close (limitMs: number): Promise<void> {
     const deadline = this.#options.clock.now() + limitMs
@@ -382,50 +352,10 @@
     this.#waiters = []
     this.#wakeJournalWaiters(Infinity)
     for (const waiter of waiters) waiter.resolve(Durability.sealed)
-    void this.#gatherOwn()
+    void this.sealedJournal.gatherOwn(this.#tail)
     this.#options.logger.warn({ event: 'sealed', incarnation: this.#journal.incarnation, step: 'write journal', peer: 'platform' })
     this.#options.onSealed()
   }
-
-  /** Adds all records to the sealed journal: the owner knows them all, and dispatches nothing any more. */
-  async #gatherOwn (): Promise<void> {
-    while (!await this.#tryUpdate((present) => gatherOwnRecords(present, this.#tail))) {
-      await this.#options.clock.sleep(this.#options.journalIntervalMs)
-    }
-  }
-
-  async #settleSealed (bill: decisions.journalTypes.Bill): Promise<void> {
-    while (!await this.#tryUpdate((present) => settleInEnded(present, bill))) {
-      await this.#options.clock.sleep(this.#options.journalIntervalMs)
-    }
-  }
-
-  async #tryUpdate (decide: (present: decisions.journalTypes.Journal | undefined) => JournalChange): Promise<boolean> {
-    try {
-      return await platform.conditionalUpdate.updateObject<decisions.journalTypes.Journal, boolean>(this.#options.platform, this.#key, decide)
-    } catch {
-      return false
-    }
-  }
-}
-
-/** Takes a request that was not dispatched out of an ended journal once its witnesses' records are gathered. */
-function dropInEnded (present: decisions.journalTypes.Journal | undefined, requestId: string, outcome: { dropped: boolean }): JournalChange {
-  if (present === undefined) return { kind: 'keep', result: true }
-  if (present.state === decisions.journalTypes.JournalState.sealed) return { kind: 'keep', result: false }
-  const next = structuredClone(present)
-  const open = decisions.journal.dropIntent(next, requestId)
-  const gathered = present.state === decisions.journalTypes.JournalState.gathered
-  outcome.dropped = open || (gathered && !present.bills.some((bill) => bill.requestId === requestId))
-  return open ? { kind: 'write', value: next, result: true } : { kind: 'keep', result: true }
-}
-
-type JournalChange = platform.conditionalUpdate.Change<decisions.journalTypes.Journal, boolean>
-
-function gatherOwnRecords (present: decisions.journalTypes.Journal | undefined, tail: readonly decisions.journalTypes.LogRecord[]): JournalChange {
-  if (present === undefined) return { kind: 'keep', result: true }
-  const gathered = decisions.journal.gatherFromOwner(present, tail)
-  return gathered === undefined ? { kind: 'keep', result: true } : { kind: 'write', value: gathered, result: true }
 }
 
 /** Highest sequence up to which a quorum of the witnesses holds all records; 0 without witnesses. */
@@ -433,12 +363,3 @@
   const acknowledged = witnesses.map((witness) => witness.acknowledged).sort((left, right) => right - left)
   return acknowledged[decisions.journal.witnessQuorum(acknowledged.length) - 1] ?? 0
 }
-
-/** Adds a bill to an ended journal once its witnesses' records are gathered. */
-function settleInEnded (present: decisions.journalTypes.Journal | undefined, bill: decisions.journalTypes.Bill): JournalChange {
-  if (present === undefined || present.state === decisions.journalTypes.JournalState.folded) return { kind: 'keep', result: true }
-  if (present.state !== decisions.journalTypes.JournalState.gathered) return { kind: 'keep', result: false }
-  const settled = structuredClone(present)
-  if (!decisions.journal.settleIntent(settled, bill)) return { kind: 'keep', result: true }
-  return { kind: 'write', value: settled, result: true }
-}
--- a/packages/router-daemon/src/settings.ts
+++ b/packages/router-daemon/src/settings.ts
@@ -85,7 +85,7 @@
   { flag: '--heartbeat-interval-ms <milliseconds>', description: 'time between heartbeats to other routers', fallback: '1000' },
   { flag: '--suspect-after-ms <milliseconds>', description: 'silence after which a router gets no new work', fallback: '3000' },
   { flag: '--dead-after-ms <milliseconds>', description: 'silence after which a router\'s journal is sealed', fallback: '5000' },
-  { flag: '--routing-policy <name>', description: `one of ${routingPolicyNames.join(', ')}`, fallback: 'two-choices' },
+  { flag: '--routing-policy <name>', description: `one of ${routingPolicyNames.join(', ')}`, fallback: 'least-own-work' },
   { flag: '--entry-host-count <count>', description: 'entry hosts told to one client account', fallback: '3' },
   { flag: '--keep-seconds <seconds>', description: 'how long callers may keep the list of entry hosts', fallback: '30' },
   { flag: '--seed <number>', description: 'seed of the router\'s random choices' }
