--- a/packages/router-daemon/src/ledger.ts
+++ b/packages/router-daemon/src/ledger.ts
@@ -69,6 +69,7 @@
   readonly #options: LedgerOptions
   readonly #book = new decisions.allotmentBook.AllotmentBook()
   readonly #budgets = new Map<string, BudgetWork>()
+  #closing = false
 
   constructor (options: LedgerOptions) {
     this.#options = options
@@ -118,8 +119,10 @@
     return { tokens: released, reservedTokens: this.#reservedOf(budget), accountHeldTokens }
   }
 
-  /** Returns all free tokens to the pages; for shutdown. Returns the budgets whose pages could not be reached. */
+  /** Draws nothing more and returns all free tokens to the pages; for shutdown. Returns the budgets whose pages could not be reached. */
   async handBack (): Promise<string[]> {
+    this.#closing = true
+    while ([...this.#budgets.values()].some((work) => work.running)) await this.#options.clock.sleep(RETRY_PAUSE_MS)
     const failed: string[] = []
     for (const budget of this.#budgets.keys()) {
       for (const [key] of this.#holdingsOf(budget)) this.#book.release(key, Infinity)
@@ -140,6 +143,7 @@
   }
 
   #prefetch (key: decisions.allotmentBook.HoldingKey): void {
+    if (this.#closing) return
     const work = this.#work(key.budget)
     const page = work.lastPage
     if (page !== undefined && decisions.ledgerPage.availableTokens(page, key.account) === 0) return
