--- a/packages/router-daemon/src/router.ts
+++ b/packages/router-daemon/src/router.ts
@@ -6,15 +6,14 @@
 import * as crypto from 'node:crypto'
 import * as agreements from './agreement.js'
 import * as configurations from './configuration-task.js'
-import * as incarnations from './incarnation.js'
+import type * as incarnations from './incarnation.js'
+import * as factories from './incarnation-factory.js'
 import * as settlers from './intent-settler.js'
 import * as keys from './key-gate.js'
 import * as late from './late-settlement.js'
-import * as ledgers from './ledger.js'
 import * as memberships from './membership-task.js'
 import * as modelFlow from './model-flow.js'
 import * as peerAnswers from './peer-answers.js'
-import * as logs from './record-log.js'
 import * as recoveries from './recovery.js'
 import * as recoveryTasks from './recovery-task.js'
 import * as resumeFlow from './resume-flow.js'
@@ -178,34 +177,19 @@
   }
 
   #createIncarnation (): incarnations.Incarnation {
-    const id = incarnations.newIncarnationId(this.#settings.host)
-    const log = new logs.RecordLog({
-      owner: { incarnation: id, host: this.#settings.host, availabilityZone: this.#settings.availabilityZone, process: this.#process, peerAddress: () => this.#peerAddress },
+    const incarnation = factories.createIncarnation({
+      settings: this.#settings,
       platform: this.#platform,
       peers: this.#peers,
       clock: this.#clock,
       logger: this.#logger,
-      journalIntervalMs: this.#settings.journalIntervalMs,
-      headroom: () => this.#own.get(id)?.ledger.headroom(this.#settings.unjournaledShare) ?? {},
-      onSealed: () => { this.#replaceIncarnation(id) }
-    })
-    const ledger = new ledgers.Ledger({
-      incarnation: id,
-      platform: this.#platform,
-      peers: this.#peers,
-      clock: this.#clock,
-      logger: this.#logger,
-      policy: {
-        horizonSeconds: this.#settings.allotmentHorizonSeconds,
-        shareOfRemaining: this.#settings.allotmentShare,
-        minimumTokens: this.#settings.allotmentMinimumTokens
-      },
+      process: this.#process,
+      peerAddress: () => this.#peerAddress,
       limitsOf: (budget) => this.#configuration.agreement?.limits(budget),
-      addressOf: (incarnation) => this.#liveAddress(incarnation),
-      noteBudget: (budget) => { log.noteBudget(budget) }
+      addressOf: (id) => this.#liveAddress(id),
+      onSealed: (id) => { this.#replaceIncarnation(id) }
     })
-    const incarnation = { id, log, ledger, admitting: new Set<string>(), refused: new Set<string>(), unproved: new Set<string>() }
-    this.#own.set(id, incarnation)
+    this.#own.set(incarnation.id, incarnation)
     return incarnation
   }
 
