Let a sealed incarnation draw nothing more

Cause: requests that waited for tokens went on drawing for an incarnation that others had folded; what it drew then belonged to nobody. Change: sealing stops its ledger, and a page that no longer lists an incarnation which drew from it grants it nothing (ledger.test.ts 'draws nothing more once others have folded its incarnation' fails without).

--- a/packages/router-daemon/src/ledger.ts
+++ b/packages/router-daemon/src/ledger.ts
@@ -135,6 +135,14 @@
     return failed
   }
 
+  /** Draws nothing more and refuses all that waits; for an incarnation that has been sealed. */
+  stop (): void {
+    this.#closing = true
+    for (const work of this.#budgets.values()) {
+      for (const waiting of work.waiting.splice(0)) waiting.resolve(ReserveOutcome.unreachable)
+    }
+  }
+
   #tryReserve (request: ReserveRequest): boolean {
     const reservation = this.#book.reserve(request.key, request.requestId, request.tokens)
     if (reservation === undefined) return false
@@ -279,6 +287,7 @@
   #decideUpdate (budget: string, present: decisions.ledgerTypes.LedgerPage | undefined, limits: decisions.ledgerTypes.BudgetLimits | undefined, accounts: string[]): platform.conditionalUpdate.Change<decisions.ledgerTypes.LedgerPage, decisions.ledgerTypes.LedgerPage | undefined> {
     if (present === undefined && limits === undefined) return { kind: 'keep', result: undefined }
     const start = present ?? decisions.ledgerPage.emptyPage(budget, limits as decisions.ledgerTypes.BudgetLimits)
+    if (this.#isFolded(budget, start)) return { kind: 'keep', result: start }
     this.#adopt(budget, start)
     let page = limits === undefined ? start : decisions.ledgerPage.withLimits(start, limits)
     for (const account of accounts) this.#releaseForTotal(page, budget, account)
@@ -295,6 +304,12 @@
     return { kind: 'write', value: page, result: page }
   }
 
+  /** True where the page no longer lists this incarnation although it drew from it: others have settled it. */
+  #isFolded (budget: string, page: decisions.ledgerTypes.LedgerPage): boolean {
+    if (page.incarnations[this.#options.incarnation] !== undefined) return false
+    return this.#holdingsOf(budget).some(([, holding]) => holding.granted > 0)
+  }
+
   /** Where the budget's total has run out, frees this router's tokens of other client accounts for a waiting one. */
   #releaseForTotal (page: decisions.ledgerTypes.LedgerPage, budget: string, account: string): void {
     const lacking = this.#neededBy(budget, account) - this.#book.free({ budget, account })
--- a/packages/router-daemon/src/router.ts
+++ b/packages/router-daemon/src/router.ts
@@ -212,6 +212,7 @@
 
   /** Another router has sealed this one: what is in progress ends under the old identity, new work runs under a new one. */
   #replaceIncarnation (sealed: string): void {
+    this.#own.get(sealed)?.ledger.stop()
     if (this.#incarnation.id !== sealed || this.#leaving) return
     this.#incarnation = this.#createIncarnation()
     this.#logger.warn({ event: 'incarnation-replaced', sealed, incarnation: this.#incarnation.id })
--- a/packages/router-daemon/test/ledger.test.ts
+++ b/packages/router-daemon/test/ledger.test.ts
@@ -86,6 +86,22 @@
     chai.expect(decisions.ledgerPage.drawnInTotal(pageOf(client))).to.be.at.most(fakes.testLimits.totalTokens)
   })
 
+  it('draws nothing more once others have folded its incarnation', async () => {
+    await one.ledger.reserve(request('alpha', 'r1', 100))
+    const stored = client.store.read(PAGE)
+    const folded = decisions.ledgerPage.foldIncarnation(pageOf(client), 'one', { alpha: 100 })
+    client.store.write(PAGE, folded, stored?.version)
+    chai.expect(await one.ledger.reserve(request('alpha', 'r2', 600))).to.equal('exhausted')
+    chai.expect(pageOf(client).incarnations).to.deep.equal({})
+  })
+
+  it('refuses what waits when it is stopped', async () => {
+    await one.ledger.reserve(request('alpha', 'r1', 800))
+    const waiting = one.ledger.reserve(request('alpha', 'r2', 500, 100_000))
+    one.ledger.stop()
+    chai.expect(await waiting).to.equal('unreachable')
+  })
+
   it('returns free tokens at the end, and nothing twice', async () => {
     await one.ledger.reserve(request('alpha', 'r1', 100))
     one.ledger.settle('r1', 'shared', 30)
