--- a/packages/proving/src/fleet.ts
+++ b/packages/proving/src/fleet.ts
@@ -238,7 +238,7 @@
 
   #routerEnvironment (router: FleetRouter): Record<string, string> {
     if (this.#paths === FleetPaths.direct) return {}
-    return { grpc_proxy: `http://${LOOPBACK}:${router.proxyPort}` }
+    return { grpc_proxy: `http://${LOOPBACK}:${router.proxyPort}`, GRPC_VERBOSITY: 'NONE' }
   }
 
   async #becomeReady (router: FleetRouter): Promise<void> {
--- a/packages/proving/src/replay.ts
+++ b/packages/proving/src/replay.ts
@@ -34,7 +34,7 @@
     this.#fleet = fleet
     this.#trace = trace
     this.#seed = seed
-    this.#caller = new callers.TraceCaller(this.#clock, fleet.accounts, () => this.#addresses(), { totalTokens, capTokens })
+    this.#caller = new callers.TraceCaller(this.#clock, fleet.accounts, () => this.#addresses(), { totalTokens, capTokens }, trace.header.callerPatienceMs)
     this.#probe = new configurationProbe.ConfigurationProbe(fleet, this.#clock)
   }
 
--- a/packages/proving/src/trace-caller.ts
+++ b/packages/proving/src/trace-caller.ts
@@ -5,9 +5,6 @@
 import * as examples from './example-manifest.js'
 import type * as traces from './trace-format.js'
 
-/** Longest time a caller keeps trying, in milliseconds. */
-const CALLER_DEADLINE_MS = 45_000
-
 /** Pause before another try, in milliseconds. */
 const RETRY_PAUSE_MS = 150
 
@@ -53,20 +50,22 @@
   readonly #hosts = new Map<string, { hosts: attempts.KnownHost[], until: number }>()
   readonly #settled = new Map<string, number>()
   readonly #inFlight = new Map<number, { account: string, worst: number }>()
+  readonly #patienceMs: number
   readonly budget: BudgetView
 
-  constructor (clock: decisions.clock.Clock, accounts: string[], addresses: () => string[], budget: BudgetView) {
+  constructor (clock: decisions.clock.Clock, accounts: string[], addresses: () => string[], budget: BudgetView, patienceMs: number) {
     this.#clock = clock
     this.#accounts = accounts
     this.#addresses = addresses
     this.budget = budget
+    this.#patienceMs = patienceMs
   }
 
   /** Sends one request and follows it to its end. */
   async send (event: traces.RequestEvent, index: number): Promise<RequestReport> {
     const run = this.#newRun(event, index)
     this.#inFlight.set(index, { account: run.report.account, worst: run.worst })
-    const deadline = this.#clock.now() + CALLER_DEADLINE_MS
+    const deadline = this.#clock.now() + this.#patienceMs
     while (this.#clock.now() < deadline) {
       const ended = await this.#try(run)
       if (ended) break
--- a/packages/proving/src/trace-format.ts
+++ b/packages/proving/src/trace-format.ts
@@ -49,7 +49,9 @@
   deployment: deploymentSchema,
   outcomes: outcomesSchema,
   /** Time for requests in progress and recovery after the last line, in milliseconds. */
-  settleMs: count.default(8000)
+  settleMs: count.default(8000),
+  /** Longest time a caller keeps trying, in milliseconds. */
+  callerPatienceMs: count.default(45_000)
 })
 
 const at = count
