--- /dev/null
+++ b/packages/decisions/src/placement.ts
@@ -0,0 +1,85 @@
+import * as hashing from './hashing.js'
+import type * as boards from './target-board.js'
+
+/** What placing may know of a request. */
+export interface PlacedRequest {
+  service: string
+  /** Shared parts of the prompt in order, with their tokens. Empty for plain services. */
+  sharedParts: ReadonlyArray<{ id: string, tokens: number }>
+  promptTokens: number
+  availabilityZone: string
+}
+
+/** Cost of one running request to those beside it, as prompt tokens that would delay them as much. */
+const RUNNING_REQUEST_TOKENS = 150
+
+/** Cost of each request beyond the slots, as prompt tokens. */
+const WAITING_REQUEST_TOKENS = 20_000
+
+/** Cost of crossing availability zones, as prompt tokens. Keeps traffic local between equal targets. */
+const OTHER_ZONE_TOKENS = 1200
+
+/** Cost of a target whose recent work all failed, as prompt tokens. */
+const FAILING_TOKENS = 60_000
+
+/** Share of a prefix that is expected in the cache of its usual target, though this router has not sent it there. */
+const USUAL_TARGET_SHARE = 0.7
+
+/** Cost of one request in flight at a plain service, by its share of the slots. */
+const PLAIN_SLOT_COST = 10_000
+
+/**
+ * Chooses the target with the least expected delay. Answers load with shared prompts: a prefix stays where it was
+ * read while the queue there is shorter than reading it again, and routers agree on a prefix's usual target by
+ * rendezvous hashing, so that they need not tell each other.
+ */
+export function chooseTarget (board: boards.TargetBoard, request: PlacedRequest, tried: ReadonlySet<string>, now: number): boards.TargetState | undefined {
+  const all = board.ofService(request.service).filter((target) => !tried.has(target.entry.id))
+  const healthy = all.filter((target) => target.setAsideUntil <= now)
+  const candidates = healthy.length > 0 ? healthy : all
+  const usual = usualTarget(candidates, request)
+  let best: boards.TargetState | undefined
+  let bestCost = Infinity
+  for (const target of candidates) {
+    const cost = expectedDelay(board, target, request, usual, now)
+    if (cost >= bestCost) continue
+    best = target
+    bestCost = cost
+  }
+  return best
+}
+
+/** Requests in flight at a target from all routers, as far as known. */
+export function inFlight (target: boards.TargetState): number {
+  return target.own.requests + target.others.requests
+}
+
+function usualTarget (candidates: readonly boards.TargetState[], request: PlacedRequest): string | undefined {
+  const last = request.sharedParts.at(-1)
+  if (last === undefined) return undefined
+  return hashing.rendezvousOrder(candidates, last.id, (target) => target.entry.id)[0]?.entry.id
+}
+
+function expectedDelay (board: boards.TargetBoard, target: boards.TargetState, request: PlacedRequest, usual: string | undefined, now: number): number {
+  const { entry } = target
+  const running = inFlight(target)
+  const zone = entry.availabilityZone === request.availabilityZone ? 0 : OTHER_ZONE_TOKENS
+  const common = zone + target.failureRatio * FAILING_TOKENS + Math.max(0, running + 1 - entry.slots) * WAITING_REQUEST_TOKENS
+  if (request.promptTokens === 0) return common + running / entry.slots * PLAIN_SLOT_COST
+  const unread = target.own.unreadTokens + target.others.unreadTokens
+  const cached = cachedTokens(board, entry.id, request, entry.id === usual, now)
+  return common + running * RUNNING_REQUEST_TOKENS + unread + request.promptTokens - cached
+}
+
+/** Prompt tokens that the target need not read again. A part counts only where all before it do. */
+function cachedTokens (board: boards.TargetBoard, id: string, request: PlacedRequest, isUsual: boolean, now: number): number {
+  let sent = 0
+  let all = 0
+  let unbroken = true
+  for (const part of request.sharedParts) {
+    all += part.tokens
+    unbroken &&= board.holdsPart(id, part.id, now)
+    if (unbroken) sent += part.tokens
+  }
+  return isUsual ? Math.max(sent, all * USUAL_TARGET_SHARE) : sent
+}
--- /dev/null
+++ b/packages/decisions/src/route-table.ts
@@ -0,0 +1,61 @@
+import type * as types from './agreement-types.js'
+import type * as random from './random.js'
+
+/** Finds the route of a request and the account of a key, for one version of the agreement. */
+export class RouteTable {
+  readonly agreement: types.Agreement
+  readonly #routesByHost = new Map<string, types.Route[]>()
+  readonly #accountByKey = new Map<string, types.Account>()
+  readonly #accountByName = new Map<string, types.Account>()
+  readonly #serviceByName = new Map<string, types.Service>()
+
+  constructor (agreement: types.Agreement) {
+    this.agreement = agreement
+    for (const route of agreement.routes) this.#routesAt(route.host).push(route)
+    for (const routes of this.#routesByHost.values()) {
+      routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)
+    }
+    for (const service of agreement.services) this.#serviceByName.set(service.name, service)
+    for (const account of agreement.accounts ?? []) {
+      this.#accountByName.set(account.name, account)
+      for (const key of account.keys) this.#accountByKey.set(key, account)
+    }
+  }
+
+  /** The route with the longest prefix that begins the path. */
+  match (host: string, path: string): types.Route | undefined {
+    return this.#routesByHost.get(host)?.find((route) => path.startsWith(route.pathPrefix))
+  }
+
+  accountOfKey (key: string): types.Account | undefined {
+    return this.#accountByKey.get(key)
+  }
+
+  account (name: string): types.Account | undefined {
+    return this.#accountByName.get(name)
+  }
+
+  service (name: string): types.Service | undefined {
+    return this.#serviceByName.get(name)
+  }
+
+  #routesAt (host: string): types.Route[] {
+    let routes = this.#routesByHost.get(host)
+    if (routes === undefined) {
+      routes = []
+      this.#routesByHost.set(host, routes)
+    }
+    return routes
+  }
+}
+
+/** Draws a service of a route by weight. */
+export function drawService (route: types.Route, source: random.RandomSource): string {
+  const total = route.shares.reduce((sum, share) => sum + share.weight, 0)
+  let rest = source.integer(Math.max(1, total))
+  for (const share of route.shares) {
+    rest -= share.weight
+    if (rest < 0) return share.service
+  }
+  return route.shares[0].service
+}
--- /dev/null
+++ b/packages/decisions/src/token-pool.ts
@@ -0,0 +1,112 @@
+/** How much allotment a router keeps at hand. */
+export interface PoolPolicy {
+  /** Time of spending that the pool covers while the platform is away, in seconds. */
+  horizonSeconds: number
+  /** Largest share of an account's remaining tokens that all routers hold together ahead of demand. */
+  aheadShare: number
+  /** Share of that which a router holds of an account it has not served yet. */
+  idleShare: number
+}
+
+/** Time constant of the spending rate's moving average, in seconds. */
+const RATE_WINDOW_SECONDS = 4
+
+/** Pool over its target by this factor gives the excess back; below, small changes cause no write. */
+const RETURN_FACTOR = 1.5
+
+/** Pool under this share of its target is filled up. */
+const REFILL_SHARE = 0.7
+
+interface AccountPool {
+  free: number
+  reserved: number
+  tokensPerSecond: number
+  rateAt: number
+}
+
+/** Tokens of one account at a router. Unit: tokens. */
+export interface PoolLevel {
+  free: number
+  reserved: number
+  tokensPerSecond: number
+}
+
+/** The allotment that one router holds, by account: what is free and what requests in progress have reserved. */
+export class TokenPool {
+  readonly #accounts = new Map<string, AccountPool>()
+
+  /** Tokens that can be reserved now. */
+  free (account: string): number {
+    return this.#accounts.get(account)?.free ?? 0
+  }
+
+  /** Reserves tokens, or returns false where they do not fit. */
+  reserve (account: string, tokens: number): boolean {
+    const pool = this.#pool(account)
+    if (pool.free < tokens) return false
+    pool.free -= tokens
+    pool.reserved += tokens
+    return true
+  }
+
+  /** Ends a reservation with what was spent, and frees the rest. */
+  settle (account: string, reservedTokens: number, spentTokens: number, nowSeconds: number): void {
+    const pool = this.#pool(account)
+    const spent = Math.min(spentTokens, reservedTokens)
+    pool.reserved -= reservedTokens
+    pool.free += reservedTokens - spent
+    decayRate(pool, nowSeconds)
+    pool.tokensPerSecond += spent / RATE_WINDOW_SECONDS
+  }
+
+  /** Adds tokens drawn from the page or received from another router. */
+  add (account: string, tokens: number): void {
+    this.#pool(account).free += tokens
+  }
+
+  /** Takes up to `tokens` free tokens out of the pool. Returns how many. */
+  take (account: string, tokens: number): number {
+    const pool = this.#pool(account)
+    const taken = Math.max(0, Math.min(tokens, pool.free))
+    pool.free -= taken
+    return taken
+  }
+
+  /** Level that the pool aims at. `remaining` is what the page has left, `routers` the number of live routers. */
+  target (account: string, remaining: number, routers: number, policy: PoolPolicy, nowSeconds: number): number {
+    const pool = this.#pool(account)
+    decayRate(pool, nowSeconds)
+    const outstanding = remaining + (pool.free * routers)
+    const evenShare = Math.max(0, outstanding) * policy.aheadShare / Math.max(1, routers)
+    const horizon = pool.tokensPerSecond * policy.horizonSeconds
+    return Math.floor(Math.min(Math.max(horizon, evenShare * policy.idleShare), evenShare))
+  }
+
+  /** Tokens to draw (positive) or to return (negative) to come back to the target; 0 while it is near. */
+  correction (account: string, target: number): number {
+    const { free } = this.#pool(account)
+    if (free < target * REFILL_SHARE) return target - free
+    if (free > target * RETURN_FACTOR) return target - free
+    return 0
+  }
+
+  /** Levels of all accounts, for heartbeats and metrics. */
+  levels (): Map<string, PoolLevel> {
+    return new Map([...this.#accounts].map(([account, pool]) => [account, { free: pool.free, reserved: pool.reserved, tokensPerSecond: pool.tokensPerSecond }]))
+  }
+
+  #pool (account: string): AccountPool {
+    let pool = this.#accounts.get(account)
+    if (pool === undefined) {
+      pool = { free: 0, reserved: 0, tokensPerSecond: 0, rateAt: 0 }
+      this.#accounts.set(account, pool)
+    }
+    return pool
+  }
+}
+
+function decayRate (pool: AccountPool, nowSeconds: number): void {
+  const elapsed = Math.max(0, nowSeconds - pool.rateAt)
+  pool.tokensPerSecond *= Math.exp(-elapsed / RATE_WINDOW_SECONDS)
+  pool.rateAt = nowSeconds
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,320 @@
+import * as decisions from '@acaciaweir/decisions'
+import type * as platform from '@acaciaweir/platform'
+import * as adapter from '@acaciaweir/platform-adapter'
+import type * as routers from '@acaciaweir/routers'
+import * as runtime from '@acaciaweir/runtime'
+import * as crypto from 'node:crypto'
+import * as callerServers from './caller-server.js'
+import * as configurations from './configuration-watch.js'
+import * as logs from './decision-log.js'
+import * as entries from './entry-server.js'
+import * as metrics from './gateway-metrics.js'
+import * as peerTables from './peer-table.js'
+import * as peerTasks from './peer-task.js'
+import * as flows from './request-flow.js'
+import * as targetWatches from './target-watch.js'
+import * as targetConnections from './target-connections.js'
+import * as tokenPages from './token-pages.js'
+import * as tokenTasks from './token-task.js'
+
+/** Longest wait for a store call other than a watch, in milliseconds. */
+const STORE_TIMEOUT_MS = 800
+
+/** Time after SIGTERM in which callers learn of other gateways before idle connections are closed, in milliseconds. */
+const LEAVE_NOTICE_MS = 1500
+
+/** Time after SIGTERM until no more connections are taken, in milliseconds. Callers keep the directory's answer up to three lifetimes. */
+const LISTEN_ON_MS = 4500
+
+/** Time kept for handing tokens back before the process is killed, in milliseconds. */
+const HAND_BACK_MS = 700
+
+/** Pause between two looks at requests in progress while leaving, in milliseconds. */
+const LEAVE_CHECK_MS = 50
+
+/** Pause between two tries to register, in milliseconds. */
+const REGISTER_PAUSE_MS = 500
+
+/** What a gateway runs with. */
+export interface GatewayOptions {
+  fleet: adapter.settingsFile.FleetSettings
+  metricsPort: number
+  seed: number | undefined
+  log: runtime.logging.BoundedLog
+}
+
+/** A gateway: serves callers at one host, in a fleet of equals. */
+export class Gateway {
+  readonly #fleet: adapter.settingsFile.FleetSettings
+  readonly #options: GatewayOptions
+  readonly #logger: runtime.logging.Logger
+  readonly #clock = new runtime.systemClock.SystemClock()
+  readonly #incarnation: string
+  readonly #store: platform.objectStore.ObjectStore
+  readonly #board = new decisions.targetBoard.TargetBoard()
+  readonly #pool = new decisions.tokenPool.TokenPool()
+  readonly #connections = new targetConnections.TargetConnections()
+  readonly #peers: peerTables.PeerTable
+  readonly #configuration: configurations.ConfigurationWatch
+  readonly #targets: targetWatches.TargetWatch
+  readonly #pages: tokenPages.TokenPages
+  readonly #tokens: tokenTasks.TokenTask
+  readonly #peerTask: peerTasks.PeerTask
+  readonly #metrics: metrics.GatewayMetrics
+  readonly #callers: callerServers.CallerServer
+  readonly #entry: entries.EntryServer
+  readonly #stop = new AbortController()
+  #agreementConfirmedAt = -Infinity
+  #targetsFromPeer = false
+  #leaving = false
+
+  constructor (options: GatewayOptions) {
+    this.#options = options
+    this.#fleet = options.fleet
+    this.#incarnation = `${options.fleet.host}-${crypto.randomUUID().slice(0, 8)}`
+    this.#logger = options.log.logger.child({ incarnation: this.#incarnation })
+    this.#store = new adapter.storeClient.StoreClient({ address: options.fleet.storeAddress, timeoutMs: STORE_TIMEOUT_MS, logger: this.#logger })
+    this.#peers = new peerTables.PeerTable(options.fleet.peerListen)
+    const shared = { store: this.#store, clock: this.#clock, logger: this.#logger }
+    this.#configuration = new configurations.ConfigurationWatch(shared, (table) => { this.#useAgreement(table) })
+    this.#targets = new targetWatches.TargetWatch(shared, this.#board)
+    this.#pages = new tokenPages.TokenPages({
+      ...shared,
+      incarnation: this.#incarnation,
+      totals: () => this.#totals(),
+      onTokens: (account, tokens) => { this.#pool.add(account, tokens) }
+    })
+    this.#tokens = this.#createTokenTask()
+    this.#peerTask = this.#createPeerTask()
+    this.#metrics = new metrics.GatewayMetrics(this.#gauges())
+    this.#callers = this.#createCallerServer()
+    this.#entry = new entries.EntryServer({
+      serving: () => this.#serving(),
+      ready: () => this.#isReady(),
+      mostSeconds: options.fleet.directoryLifetimeMs / 1000
+    })
+  }
+
+  /** Starts listening and joins the fleet. Resolves when the ports are open; readiness may come later. */
+  async start (): Promise<void> {
+    const caller = runtime.httpServer.parseListenAddress(this.#fleet.callerListen)
+    const peer = runtime.httpServer.parseListenAddress(this.#fleet.peerListen)
+    this.#configuration.start()
+    this.#targets.start()
+    await this.#callers.listen(caller.port, caller.address)
+    await this.#peerTask.listen(peer.port, peer.address)
+    await this.#entry.listen(
+      runtime.httpServer.parseListenAddress(this.#fleet.directoryListen),
+      runtime.httpServer.parseListenAddress(this.#fleet.readyListen)
+    )
+    await this.#metrics.listen(this.#options.metricsPort, this.#fleet.ip)
+    this.#peerTask.start()
+    this.#tokens.start()
+    void this.#register()
+    this.#logger.info({ event: 'started', callers: this.#fleet.callerListen, peers: this.#fleet.peerListen, seeds: this.#fleet.seedPeers })
+  }
+
+  /** Takes no new work, ends all requests in progress, hands tokens back and ends. */
+  async shutDown (): Promise<void> {
+    const startedAt = this.#clock.now()
+    const elapsed = (): number => this.#clock.now() - startedAt
+    this.#leaving = true
+    this.#logger.info({ event: 'leaving', inProgress: this.#callers.inProgress })
+    this.#callers.leave()
+    void this.#peerTask.announce()
+    void this.#tokens.handBack()
+    const endMs = this.#fleet.graceMs - HAND_BACK_MS
+    let listening = true
+    while (elapsed() < endMs && (listening || this.#callers.inProgress > 0)) {
+      await this.#clock.sleep(LEAVE_CHECK_MS)
+      if (elapsed() > LEAVE_NOTICE_MS) this.#callers.closeIdle()
+      if (listening && elapsed() > LISTEN_ON_MS) {
+        listening = false
+        this.#callers.stopListening()
+      }
+    }
+    await this.#tokens.handBack()
+    this.#logger.info({ event: 'stopped', inProgress: this.#callers.inProgress, milliseconds: Math.round(elapsed()) })
+    this.stopNow()
+  }
+
+  /** Ends at once, as a crash would. */
+  stopNow (): void {
+    this.#stop.abort()
+    this.#configuration.stop()
+    this.#targets.stop()
+    this.#tokens.stop()
+    this.#peerTask.stop()
+    this.#callers.closeNow()
+    this.#entry.close()
+    this.#metrics.close()
+    this.#connections.close()
+  }
+
+  #isReady (): boolean {
+    return !this.#leaving && this.#configuration.table !== undefined && (this.#targets.revision > 0 || this.#targetsFromPeer)
+  }
+
+  #serving (): routers.gatewayMessages.GatewayMember[] {
+    const others = this.#peers.serving(this.#clock.now())
+    return this.#isReady() ? [this.#member(), ...others] : others
+  }
+
+  #gateways (): number {
+    return 1 + this.#peers.live(this.#clock.now()).length
+  }
+
+  #member (): routers.gatewayMessages.GatewayMember {
+    return {
+      host: this.#fleet.host,
+      incarnation: this.#incarnation,
+      peerAddress: this.#fleet.peerListen,
+      callerAddress: this.#fleet.callerListen,
+      availabilityZone: this.#fleet.availabilityZone,
+      leaving: this.#leaving,
+      ready: this.#isReady()
+    }
+  }
+
+  #heartbeat (): routers.gatewayMessages.GatewayHeartbeat {
+    const live = this.#peers.live(this.#clock.now())
+    return {
+      sender: this.#member(),
+      peers: live.map((heartbeat) => heartbeat.sender.peerAddress),
+      agreementVersion: this.#configuration.version,
+      targetsRevision: this.#targets.revision,
+      work: Object.entries(this.#board.ownWork()).map(([id, work]) => ({ id, ...work })),
+      freeTokens: this.#tokens.freeTokens(),
+      leavingTargets: this.#board.entries().filter((entry) => entry.leaving).map((entry) => entry.id)
+    }
+  }
+
+  #hear (heartbeat: routers.gatewayMessages.GatewayHeartbeat): void {
+    const now = this.#clock.now()
+    for (const id of heartbeat.leavingTargets) this.#board.markLeaving(id)
+    this.#board.useOthersWork(this.#peers.work(now))
+    if (heartbeat.agreementVersion === this.#configuration.version) this.#agreementConfirmedAt = now
+    const needsTargets = this.#targets.revision === 0 && !this.#targetsFromPeer && heartbeat.targetsRevision > 0
+    if (heartbeat.agreementVersion > this.#configuration.version || needsTargets) void this.#peerTask.fetchState(heartbeat.sender.peerAddress)
+  }
+
+  #state (): routers.gatewayMessages.GatewayState {
+    const agreement = this.#configuration.table?.agreement
+    return {
+      agreement: agreement === undefined ? '' : JSON.stringify(agreement),
+      targets: JSON.stringify(this.#board.entries()),
+      targetsRevision: this.#targets.revision
+    }
+  }
+
+  #useState (state: routers.gatewayMessages.GatewayState): void {
+    if (state.agreement !== '') this.#configuration.take(JSON.parse(state.agreement), configurations.AgreementSource.peer)
+    if (this.#targets.revision > 0 || state.targetsRevision === 0) return
+    this.#targetsFromPeer = true
+    this.#board.use(JSON.parse(state.targets))
+    this.#logger.info({ event: 'targets-from-gateway', revision: state.targetsRevision, targets: this.#board.entries().length })
+  }
+
+  #useAgreement (table: decisions.routeTable.RouteTable): void {
+    this.#agreementConfirmedAt = this.#clock.now()
+    this.#callers.useLimits(table.agreement.limits)
+  }
+
+  #agreementAgeMs (): number {
+    return Math.min(this.#configuration.silenceMs(), this.#clock.now() - this.#agreementConfirmedAt)
+  }
+
+  #totals (): tokenPages.PrepaidTotals | undefined {
+    const agreement = this.#configuration.table?.agreement
+    if (agreement?.accounts === undefined) return undefined
+    const prepaid = agreement.accounts.filter((account) => account.prepaidTokens !== undefined)
+    return { version: agreement.version, totals: Object.fromEntries(prepaid.map((account) => [account.name, account.prepaidTokens ?? 0])) }
+  }
+
+  /** Registers this gateway in the store, and learns of those that registered before. */
+  async #register (): Promise<void> {
+    const kind = adapter.objectKinds.ObjectKind.routers
+    while (!this.#stop.signal.aborted) {
+      const listed = await this.#store.list(kind)
+      if (listed.status === 'done') {
+        const own = listed.result.objects.find((object) => object.name === this.#fleet.host)
+        for (const object of listed.result.objects) this.#meet(object)
+        const value = { peerAddress: this.#fleet.peerListen }
+        const written = own === undefined
+          ? await this.#store.create(kind, this.#fleet.host, value)
+          : await this.#store.replace(kind, this.#fleet.host, value, own.revision)
+        if (written.status === 'done') return
+      }
+      await this.#clock.sleep(REGISTER_PAUSE_MS, this.#stop.signal)
+    }
+  }
+
+  #meet (object: platform.objectStore.StoreObject): void {
+    const address = (object.value as { peerAddress?: unknown } | null)?.peerAddress
+    if (typeof address === 'string') this.#peers.add(address, this.#clock.now())
+    else this.#logger.warn({ event: 'gateway-entry-skipped', host: object.name, revision: object.revision })
+  }
+
+  #createTokenTask (): tokenTasks.TokenTask {
+    return new tokenTasks.TokenTask(this.#pool, {
+      pages: this.#pages,
+      clock: this.#clock,
+      logger: this.#logger,
+      totals: () => this.#totals(),
+      gateways: () => this.#gateways(),
+      holders: (account) => this.#peers.live(this.#clock.now())
+        .map((heartbeat) => ({ peerAddress: heartbeat.sender.peerAddress, freeTokens: heartbeat.freeTokens[account] ?? 0 }))
+        .filter((holder) => holder.freeTokens > 0),
+      transfer: async (peerAddress, account, tokens) => await this.#peerTask.transfer(peerAddress, account, tokens)
+    })
+  }
+
+  #createPeerTask (): peerTasks.PeerTask {
+    return new peerTasks.PeerTask({
+      table: this.#peers,
+      seeds: this.#fleet.seedPeers,
+      clock: this.#clock,
+      logger: this.#logger,
+      heartbeat: () => this.#heartbeat(),
+      state: () => this.#state(),
+      giveTokens: (account, tokens) => this.#tokens.giveAway(account, tokens),
+      onHeartbeat: (heartbeat) => { this.#hear(heartbeat) },
+      onState: (state) => { this.#useState(state) }
+    })
+  }
+
+  #createCallerServer (): callerServers.CallerServer {
+    const flow = new flows.RequestFlow({
+      clock: this.#clock,
+      board: this.#board,
+      connections: this.#connections,
+      tokens: this.#tokens,
+      allowance: new decisions.retryAllowance.RetryAllowance(this.#fleet.retryBudget),
+      availabilityZone: this.#fleet.availabilityZone,
+      service: (name) => this.#configuration.table?.service(name),
+      gateways: () => this.#gateways(),
+      onFirstEvent: (milliseconds) => { this.#metrics.firstEvent(milliseconds / 1000) }
+    })
+    return new callerServers.CallerServer({
+      clock: this.#clock,
+      random: new decisions.random.SeededRandom(this.#options.seed ?? crypto.randomInt(2 ** 31)),
+      logger: this.#logger,
+      log: new logs.DecisionLog(this.#logger, this.#clock),
+      metrics: this.#metrics,
+      flow,
+      table: () => this.#configuration.table,
+      agreementAgeMs: () => this.#agreementAgeMs()
+    })
+  }
+
+  #gauges (): metrics.GaugeSource {
+    return {
+      requestsInProgress: () => this.#callers.inProgress,
+      agreementVersion: () => this.#configuration.version,
+      livePeers: () => this.#peers.live(this.#clock.now()).length,
+      freeTokens: () => this.#tokens.freeTokens(),
+      storeCalls: () => this.#store.counts,
+      droppedLogLines: this.#options.log.droppedLines
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,2 @@
+export * as gateway from './gateway.js'
+export * as settings from './settings.js'
--- /dev/null
+++ b/packages/gateway/src/peer-task.ts
@@ -0,0 +1,159 @@
+import * as decisions from '@acaciaweir/decisions'
+import * as routers from '@acaciaweir/routers'
+import type * as runtime from '@acaciaweir/runtime'
+import * as crypto from 'node:crypto'
+import * as tables from './peer-table.js'
+
+type Calls = routers.gatewayMessages.GatewayCalls
+type Heartbeat = routers.gatewayMessages.GatewayHeartbeat
+
+/** Time between two rounds of heartbeats, in milliseconds. */
+const EXCHANGE_INTERVAL_MS = 300
+
+/** Gateways exchanged with in one round. A larger fleet is covered over several rounds. */
+const EXCHANGES_A_ROUND = 8
+
+/** Longest wait for a heartbeat's answer, in milliseconds. */
+const EXCHANGE_TIMEOUT_MS = 500
+
+/** Longest wait for tokens of another gateway, in milliseconds. A request waits for it. */
+const TRANSFER_TIMEOUT_MS = 120
+
+/** Longest wait for another gateway's agreement and targets, in milliseconds. */
+const STATE_TIMEOUT_MS = 1500
+
+/** Answers kept of token transfers, so that a repeated question gets the same answer. */
+const TRANSFERS_KEPT = 200
+
+/** What exchanging with other gateways needs. */
+export interface PeerTaskOptions {
+  table: tables.PeerTable
+  seeds: string[]
+  clock: decisions.clock.Clock
+  logger: runtime.logging.Logger
+  heartbeat: () => Heartbeat
+  state: () => routers.gatewayMessages.GatewayState
+  giveTokens: (account: string, tokens: number) => number
+  /** Called with each heartbeat heard. */
+  onHeartbeat: (heartbeat: Heartbeat) => void
+  onState: (state: routers.gatewayMessages.GatewayState) => void
+}
+
+/** Exchanges heartbeats with the other gateways, and moves tokens and state between them. */
+export class PeerTask extends routers.peerHandler.PeerHandler<Calls> {
+  readonly #options: PeerTaskOptions
+  readonly #client = new routers.peerClient.PeerClient<Calls>(routers.peerDefinition.gatewaysService)
+  readonly #server: routers.peerServer.PeerServer<Calls>
+  readonly #stop = new AbortController()
+  readonly #given = new Map<string, number>()
+  #fetching = false
+  #next = 0
+
+  constructor (options: PeerTaskOptions) {
+    super()
+    this.#options = options
+    this.#server = new routers.peerServer.PeerServer<Calls>(this, routers.peerDefinition.gatewaysService)
+  }
+
+  async listen (port: number, address: string): Promise<number> {
+    return await this.#server.listen(port, address)
+  }
+
+  start (): void {
+    for (const seed of this.#options.seeds) this.#options.table.add(seed, this.#options.clock.now())
+    void this.#run()
+  }
+
+  /** Tells all gateways at once, for a change that cannot wait for the next round. */
+  async announce (): Promise<void> {
+    await Promise.all(this.#options.table.addresses(this.#options.clock.now()).map((address) => this.#exchange(address)))
+  }
+
+  stop (): void {
+    this.#stop.abort()
+    this.#client.close()
+    this.#server.close()
+  }
+
+  /** Asks another gateway for tokens. Returns 0 where it does not answer; what it then gave away counts as spent. */
+  async transfer (peerAddress: string, account: string, tokens: number): Promise<number> {
+    try {
+      const request = { transferId: crypto.randomUUID(), account, tokens }
+      const reply = await this.#client.call(peerAddress, 'TransferTokens', request, TRANSFER_TIMEOUT_MS)
+      return reply.tokens
+    } catch (error) {
+      this.#options.logger.warn({ event: 'transfer-failed', peer: peerAddress, account, tokens, reason: (error as Error).message })
+      return 0
+    }
+  }
+
+  override async answer<Name extends keyof Calls> (name: Name, request: Calls[Name]['request']): Promise<Calls[Name]['reply']> {
+    if (name === 'Exchange') return this.#answerHeartbeat(request as Heartbeat)
+    if (name === 'TransferTokens') return this.#answerTransfer(request as Calls['TransferTokens']['request'])
+    return this.#options.state()
+  }
+
+  #answerHeartbeat (heartbeat: Heartbeat): Heartbeat {
+    this.#hear(heartbeat)
+    return this.#options.heartbeat()
+  }
+
+  #answerTransfer (request: Calls['TransferTokens']['request']): Calls['TransferTokens']['reply'] {
+    const known = this.#given.get(request.transferId)
+    if (known !== undefined) return { tokens: known }
+    const tokens = this.#options.giveTokens(request.account, request.tokens)
+    this.#given.set(request.transferId, tokens)
+    for (const id of this.#given.keys()) {
+      if (this.#given.size <= TRANSFERS_KEPT) break
+      this.#given.delete(id)
+    }
+    this.#options.logger.debug({ event: 'tokens-given', account: request.account, asked: request.tokens, tokens })
+    return { tokens }
+  }
+
+  async #run (): Promise<void> {
+    while (!this.#stop.signal.aborted) {
+      for (const address of this.#nextRound()) void this.#exchange(address)
+      await this.#options.clock.sleep(EXCHANGE_INTERVAL_MS, this.#stop.signal)
+    }
+  }
+
+  #nextRound (): string[] {
+    const addresses = this.#options.table.addresses(this.#options.clock.now())
+    if (addresses.length <= EXCHANGES_A_ROUND) return addresses
+    const round: string[] = []
+    for (let count = 0; count < EXCHANGES_A_ROUND; count++) {
+      round.push(addresses[this.#next % addresses.length])
+      this.#next += 1
+    }
+    return round
+  }
+
+  async #exchange (address: string): Promise<void> {
+    try {
+      this.#hear(await this.#client.call(address, 'Exchange', this.#options.heartbeat(), EXCHANGE_TIMEOUT_MS))
+    } catch (error) {
+      // Silence is noticed by the table; the line only helps to tell a refused connection from a lost packet.
+      this.#options.logger.debug({ event: 'exchange-failed', peer: address, reason: (error as Error).message })
+    }
+  }
+
+  #hear (heartbeat: Heartbeat): void {
+    const regained = this.#options.table.hear(heartbeat, this.#options.clock.now())
+    if (regained) this.#options.logger.info({ event: 'dependency-regained', dependency: 'gateway', peer: heartbeat.sender.peerAddress, incarnation: heartbeat.sender.incarnation })
+    this.#options.onHeartbeat(heartbeat)
+  }
+
+  /** Fetches the agreement and the targets that another gateway knows. */
+  async fetchState (peerAddress: string): Promise<void> {
+    if (this.#fetching) return
+    this.#fetching = true
+    try {
+      this.#options.onState(await this.#client.call(peerAddress, 'FetchState', {}, STATE_TIMEOUT_MS))
+    } catch (error) {
+      this.#options.logger.warn({ event: 'state-fetch-failed', peer: peerAddress, reason: (error as Error).message })
+    } finally {
+      this.#fetching = false
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/target-watch.ts
@@ -0,0 +1,76 @@
+import type * as decisions from '@acaciaweir/decisions'
+import type * as platform from '@acaciaweir/platform'
+import * as adapter from '@acaciaweir/platform-adapter'
+import * as watches from './object-watch.js'
+
+/** Time after an outage of the store in which entries that lapsed meanwhile come back, in milliseconds. */
+const LAPSED_ENTRY_GRACE_MS = 2000
+
+/** Follows the registered targets and keeps the board up to date. */
+export class TargetWatch extends watches.ObjectWatch {
+  readonly #board: decisions.targetBoard.TargetBoard
+  readonly #clock: decisions.clock.Clock
+
+  constructor (options: Omit<watches.ObjectWatchOptions, 'kind'>, board: decisions.targetBoard.TargetBoard) {
+    super({ ...options, kind: adapter.objectKinds.ObjectKind.targets })
+    this.#board = board
+    this.#clock = options.clock
+  }
+
+  protected override useList (objects: platform.objectStore.StoreObject[], revision: number, afterOutage: boolean): void {
+    const entries = objects.map((object) => this.#decode(object)).filter((entry) => entry !== undefined)
+    const present = new Set(entries.map((entry) => entry.id))
+    const missing = this.#board.entries().filter((entry) => !present.has(entry.id))
+    this.logger.info({ event: 'targets-listed', revision, targets: entries.length, missing: missing.length, afterOutage })
+    for (const entry of entries) this.#board.put(entry)
+    if (!afterOutage) {
+      for (const entry of missing) this.#remove(entry.id, revision)
+      return
+    }
+    void this.#removeLater(missing.map((entry) => entry.id), revision)
+  }
+
+  protected override useEvents (events: platform.objectStore.ObjectEvent[], revision: number): void {
+    for (const event of events) {
+      if (event.removed) this.#remove(event.object.name, revision)
+      else this.#put(event.object)
+    }
+  }
+
+  #put (object: platform.objectStore.StoreObject): void {
+    const entry = this.#decode(object)
+    if (entry === undefined) return
+    const known = this.#board.get(entry.id)
+    if (known === undefined || known.entry.leaving !== entry.leaving) {
+      this.logger.info({ event: entry.leaving ? 'target-leaving' : 'target-found', target: entry.id, service: entry.service, address: entry.address, revision: object.revision })
+    }
+    this.#board.put(entry)
+  }
+
+  #remove (id: string, revision: number): void {
+    if (this.#board.get(id) === undefined) return
+    this.logger.info({ event: 'target-gone', target: id, revision })
+    this.#board.remove(id)
+  }
+
+  async #removeLater (ids: string[], revision: number): Promise<void> {
+    await this.#clock.sleep(LAPSED_ENTRY_GRACE_MS)
+    const listed = new Set(this.#seenSince(revision))
+    for (const id of ids) {
+      if (!listed.has(id)) this.#remove(id, this.revision)
+    }
+  }
+
+  readonly #putAt = new Map<string, number>()
+
+  #seenSince (revision: number): string[] {
+    return [...this.#putAt].filter(([, at]) => at > revision).map(([id]) => id)
+  }
+
+  #decode (object: platform.objectStore.StoreObject): decisions.agreementTypes.TargetEntry | undefined {
+    const entry = adapter.targetEntries.decodeTarget(object)
+    if (entry === undefined) this.logger.warn({ event: 'target-entry-skipped', target: object.name, revision: object.revision })
+    else this.#putAt.set(entry.id, object.revision)
+    return entry
+  }
+}
--- a/packages/router-daemon/src/main.ts
+++ b/packages/router-daemon/src/main.ts
@@ -23,7 +23,7 @@
 
 async function run (checked: settings.Settings): Promise<void> {
   const logger = runtime.logging.createLogger(checked.logLevel, { host: checked.host, availabilityZone: checked.availabilityZone })
-  const stopTelemetry = runtime.telemetry.startTelemetry({
+  const stopTelemetry = await runtime.telemetry.startTelemetry({
     service: 'acaciaweir-router',
     instance: checked.host,
     otlpEndpoint: checked.otlpEndpoint,
--- a/packages/router-daemon/src/router.ts
+++ b/packages/router-daemon/src/router.ts
@@ -166,11 +166,11 @@
 
   async #listen (): Promise<void> {
     const settings = this.#settings
-    const caller = splitAddress(settings.callerListen)
+    const caller = runtime.httpServer.parseListenAddress(settings.callerListen)
     const callerPort = await this.#edge.listen(caller.port, caller.address)
-    const peer = splitAddress(settings.peerListen)
+    const peer = runtime.httpServer.parseListenAddress(settings.peerListen)
     const peerPort = await this.#peerServer.listen(peer.port, peer.address)
-    const metric = splitAddress(settings.metricsListen)
+    const metric = runtime.httpServer.parseListenAddress(settings.metricsListen)
     await this.#metrics.listen(metric.port, metric.address)
     this.#callerAddress = settings.callerAddress ?? `http://${caller.address}:${callerPort}`
     this.#peerAddress = settings.peerAddress ?? `${peer.address}:${peerPort}`
@@ -412,8 +412,3 @@
     keyPrefix: decisions.requestKey.keyPrefix(member.incarnation)
   }
 }
-
-function splitAddress (text: string): { address: string, port: number } {
-  const separator = text.lastIndexOf(':')
-  return { address: text.slice(0, separator), port: Number(text.slice(separator + 1)) }
-}
--- a/packages/routers/src/peer-client.ts
+++ b/packages/routers/src/peer-client.ts
@@ -36,19 +36,24 @@
 }
 
 /** Calls other routers; keeps one connection to each address. */
-export class PeerClient {
+export class PeerClient<Calls extends definition.CallTable<Calls> = messages.PeerCalls> {
+  readonly #service: grpc.ServiceDefinition
   readonly #connections = new Map<string, Connection>()
 
+  constructor (service: grpc.ServiceDefinition = definition.peersService) {
+    this.#service = service
+  }
+
   /** Calls a router and returns its reply. Throws PeerError. */
-  call<Name extends messages.PeerCallName> (address: string, name: Name, request: messages.PeerCalls[Name]['request'], timeoutMs: number): Promise<messages.PeerCalls[Name]['reply']> {
+  call<Name extends keyof Calls & string> (address: string, name: Name, request: Calls[Name]['request'], timeoutMs: number): Promise<Calls[Name]['reply']> {
     const connection = this.#connection(address)
-    const method = definition.callDefinition(name)
+    const method = definition.callDefinition(this.#service, name)
     return new Promise((resolve, reject) => {
       const deadline = Date.now() + timeoutMs
       connection.client.makeUnaryRequest(method.path, method.requestSerialize, method.responseDeserialize, request, { deadline }, (error, reply) => {
         if (error === null) {
           connection.failures = 0
-          resolve(reply as messages.PeerCalls[Name]['reply'])
+          resolve(reply as Calls[Name]['reply'])
           return
         }
         this.#noteFailure(address, connection)
--- a/packages/routers/src/peer-definition.ts
+++ b/packages/routers/src/peer-definition.ts
@@ -1,21 +1,24 @@
 import * as grpc from '@grpc/grpc-js'
 import * as loader from '@grpc/proto-loader'
-import * as url from 'node:url'
-import type * as messages from './peer-messages.js'
+import * as descriptor from './peers-descriptor.js'
 
-const DEFINITION_PATH = url.fileURLToPath(new URL('../../peers.proto', import.meta.url))
-
-const definition = loader.loadSync(DEFINITION_PATH, { keepCase: true, longs: Number, defaults: true, arrays: true })
+const definition = loader.fromJSON(JSON.parse(descriptor.peersDescriptor), { keepCase: true, longs: Number, defaults: true, arrays: true, objects: true })
 const loaded = grpc.loadPackageDefinition(definition) as unknown as LoadedDefinition
 
 interface LoadedDefinition {
-  acaciaweir: { peers: { Peers: grpc.ServiceClientConstructor } }
+  acaciaweir: { peers: { Peers: grpc.ServiceClientConstructor, Gateways: grpc.ServiceClientConstructor } }
 }
 
+/** Requests and replies of the calls of a service, by name. */
+export type CallTable<Calls> = { [Name in keyof Calls]: { request: object, reply: object } }
+
 /** The service of all calls between routers. */
 export const peersService = loaded.acaciaweir.peers.Peers.service
 
-/** Path of a call on the wire. */
-export function callDefinition (name: messages.PeerCallName): grpc.MethodDefinition<object, object> {
-  return peersService[name] as grpc.MethodDefinition<object, object>
+/** The service of all calls between gateways. */
+export const gatewaysService = loaded.acaciaweir.peers.Gateways.service
+
+/** Path and codecs of a call. */
+export function callDefinition (service: grpc.ServiceDefinition, name: string): grpc.MethodDefinition<object, object> {
+  return service[name] as grpc.MethodDefinition<object, object>
 }
--- a/packages/routers/src/peer-server.ts
+++ b/packages/routers/src/peer-server.ts
@@ -4,13 +4,13 @@
 import type * as messages from './peer-messages.js'
 
 /** Listens for the calls of other routers. */
-export class PeerServer {
+export class PeerServer<Calls extends definition.CallTable<Calls> = messages.PeerCalls> {
   readonly #server = new grpc.Server()
 
-  constructor (handler: handlers.PeerHandler) {
-    const names = Object.keys(definition.peersService) as messages.PeerCallName[]
+  constructor (handler: handlers.PeerHandler<Calls>, service: grpc.ServiceDefinition = definition.peersService) {
+    const names = Object.keys(service) as Array<keyof Calls & string>
     const implementation = Object.fromEntries(names.map((name) => [name, answerWith(handler, name)]))
-    this.#server.addService(definition.peersService, implementation)
+    this.#server.addService(service, implementation)
   }
 
   /** Listens and returns the port; port 0 takes a free one. */
@@ -29,7 +29,7 @@
   }
 }
 
-function answerWith (handler: handlers.PeerHandler, name: messages.PeerCallName): grpc.UntypedHandleCall {
+function answerWith<Calls extends definition.CallTable<Calls>> (handler: handlers.PeerHandler<Calls>, name: keyof Calls & string): grpc.UntypedHandleCall {
   const handle: grpc.handleUnaryCall<object, object> = (call, done) => {
     handler.answer(name, call.request as never).then(
       (reply) => { done(null, reply) },
--- a/packages/runtime/src/http-call.ts
+++ b/packages/runtime/src/http-call.ts
@@ -4,8 +4,11 @@
 export interface HttpCall {
   method: string
   url: string
-  headers?: Record<string, string>
-  body?: string
+  headers?: http.OutgoingHttpHeaders
+  /** Text is sent as JSON; bytes are sent as they are. */
+  body?: string | Buffer
+  /** Longest time until the connection stands, in milliseconds; bounded only by the idle timeout where absent. */
+  connectTimeoutMs?: number
   /** Longest time without a byte from the other side, in milliseconds. */
   idleTimeoutMs: number
   agent?: http.Agent
@@ -47,8 +50,16 @@
       signal: call.signal
     })
     request.on('socket', (socket) => {
-      if (!socket.connecting) connected = true
-      else socket.once('connect', () => { connected = true })
+      if (!socket.connecting) {
+        connected = true
+        return
+      }
+      const timer = connectTimer(call, request)
+      socket.once('connect', () => {
+        connected = true
+        clearTimeout(timer)
+      })
+      socket.once('close', () => { clearTimeout(timer) })
     })
     request.setTimeout(call.idleTimeoutMs, () => request.destroy(new Error('idle timeout')))
     request.on('error', (error: NodeJS.ErrnoException) => {
@@ -83,8 +94,13 @@
   return Buffer.concat(chunks).toString('utf8')
 }
 
-function bodyHeaders (call: HttpCall): Record<string, string | number> {
-  if (call.body === undefined) return { ...call.headers }
+function connectTimer (call: HttpCall, request: http.ClientRequest): NodeJS.Timeout | undefined {
+  if (call.connectTimeoutMs === undefined) return undefined
+  return setTimeout(() => { request.destroy(new Error('connect timeout')) }, call.connectTimeoutMs)
+}
+
+function bodyHeaders (call: HttpCall): http.OutgoingHttpHeaders {
+  if (typeof call.body !== 'string') return { ...call.headers }
   return {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(call.body),
--- a/packages/runtime/src/http-server.ts
+++ b/packages/runtime/src/http-server.ts
@@ -55,3 +55,15 @@
   }
   sendJson(response, 500, { title: error.message })
 }
+
+/** Where a server listens. */
+export interface ListenAddress {
+  address: string
+  port: number
+}
+
+/** Splits ADDRESS:PORT. */
+export function parseListenAddress (text: string): ListenAddress {
+  const colon = text.lastIndexOf(':')
+  return { address: text.slice(0, colon), port: Number(text.slice(colon + 1)) }
+}
--- a/packages/runtime/src/telemetry.ts
+++ b/packages/runtime/src/telemetry.ts
@@ -1,7 +1,5 @@
 import * as api from '@opentelemetry/api'
-import * as exporter from '@opentelemetry/exporter-trace-otlp-http'
-import * as resources from '@opentelemetry/resources'
-import * as sdk from '@opentelemetry/sdk-trace-node'
+import type * as sdk from '@opentelemetry/sdk-trace-node'
 import * as fs from 'node:fs'
 
 /** Where finished spans go; with neither set, tracing is off. */
@@ -14,10 +12,12 @@
   sampledShare: number
 }
 
-/** Starts tracing and returns the function that flushes and ends it. */
-export function startTelemetry (settings: TelemetrySettings): () => Promise<void> {
-  const processors = spanProcessors(settings)
-  if (processors.length === 0) return async () => {}
+/** Starts tracing and returns the function that flushes and ends it. The SDK is loaded only where spans go somewhere. */
+export async function startTelemetry (settings: TelemetrySettings): Promise<() => Promise<void>> {
+  if (settings.otlpEndpoint === undefined && settings.traceFile === undefined) return async () => {}
+  const sdk = await import('@opentelemetry/sdk-trace-node')
+  const resources = await import('@opentelemetry/resources')
+  const processors = await spanProcessors(settings, sdk)
   const provider = new sdk.NodeTracerProvider({
     resource: resources.resourceFromAttributes({ 'service.name': settings.service, 'service.instance.id': settings.instance }),
     sampler: new sdk.ParentBasedSampler({ root: new sdk.TraceIdRatioBasedSampler(settings.sampledShare) }),
@@ -50,9 +50,10 @@
   return tracer().startSpan(name, { attributes }, context)
 }
 
-function spanProcessors (settings: TelemetrySettings): sdk.SpanProcessor[] {
+async function spanProcessors (settings: TelemetrySettings, sdk: typeof import('@opentelemetry/sdk-trace-node')): Promise<sdk.SpanProcessor[]> {
   const processors: sdk.SpanProcessor[] = []
   if (settings.otlpEndpoint !== undefined) {
+    const exporter = await import('@opentelemetry/exporter-trace-otlp-http')
     processors.push(new sdk.BatchSpanProcessor(new exporter.OTLPTraceExporter({ url: settings.otlpEndpoint })))
   }
   if (settings.traceFile !== undefined) {
