Bound the wait of a request for the token page

Cause: during an outage of the store each request waited for store calls that queued behind 800 ms timeouts.

--- a/packages/gateway/src/token-pages.ts
+++ b/packages/gateway/src/token-pages.ts
@@ -7,6 +7,9 @@
 /** Tries of one change before it is given up as contended. */
 const MOST_TRIES = 6
 
+/** Time after a failure in which no further call is tried, in milliseconds. Requests must not queue behind timeouts. */
+const FAILURE_PAUSE_MS = 250
+
 /** Name of the page that holds all accounts. */
 const PAGE_NAME = 'prepaid'
 
@@ -52,6 +55,7 @@
   /** Undefined before the page was read; 0 where it does not exist. */
   #revision: number | undefined
   #readAt = -Infinity
+  #failedAt = -Infinity
   #changeNumber = 0
   /** Changes from the same revision; at most one of them takes effect. */
   #pending: PendingChange[] = []
@@ -71,9 +75,14 @@
     return this.#options.clock.now() - this.#readAt
   }
 
+  /** Whether the last call failed so lately that the next would most likely fail too. */
+  isPaused (): boolean {
+    return this.#options.clock.now() - this.#failedAt < FAILURE_PAUSE_MS
+  }
+
   protected override async handle (wanted: Map<string, number>): Promise<PageResult> {
     const returned = new Map([...wanted].filter(([, tokens]) => tokens < 0))
-    for (let attempt = 0; attempt < MOST_TRIES; attempt++) {
+    for (let attempt = 0; attempt < MOST_TRIES && !this.isPaused(); attempt++) {
       if (this.#revision === undefined && !await this.#read()) break
       const outcome = await this.#write(wanted, returned)
       if (outcome === 'done') return PageResult.changed
@@ -99,7 +108,7 @@
       this.#options.logger.warn({ event: 'page-answer-lost', change: this.#changeNumber, baseRevision })
       this.#pending.push({ number: this.#changeNumber, applied: changed.applied, returned, baseRevision })
       this.#revision = undefined
-      await this.#read()
+      this.#failedAt = this.#options.clock.now()
       return 'lost'
     }
     if (outcome.status === 'conflict' || outcome.status === 'missing') {
@@ -107,6 +116,7 @@
       if (outcome.present !== undefined) this.#adoptForeign(outcome.present)
       return 'again'
     }
+    this.#failedAt = this.#options.clock.now()
     return 'unreachable'
   }
 
@@ -119,7 +129,10 @@
   async #read (): Promise<boolean> {
     const outcome = await this.#options.store.read(adapter.objectKinds.ObjectKind.tokenPages, PAGE_NAME)
     if (outcome.status === 'done') return this.#adoptForeign(outcome.result)
-    if (outcome.status !== 'missing') return false
+    if (outcome.status !== 'missing') {
+      this.#failedAt = this.#options.clock.now()
+      return false
+    }
     this.#adopt(decisions.tokenPage.emptyPage(), 0)
     return true
   }
--- a/packages/gateway/src/token-task.ts
+++ b/packages/gateway/src/token-task.ts
@@ -24,11 +24,11 @@
 /** Age of the page up to which it proves that a budget is used up, in milliseconds. */
 const PAGE_FRESH_MS = 2500
 
-/** Pause before the page is tried again for requests after it could not be reached, in milliseconds. */
-const PAGE_RETRY_MS = 300
+/** Longest time that a request waits for the page, in milliseconds. The store answers in a few; a request must not wait out its outage. */
+const PAGE_WAIT_MS = 60
 
-/** Keeps seconds of spending at hand, at most half of what is left of a budget, and a tenth of that before the first request. */
-const POOL_POLICY: decisions.tokenPool.PoolPolicy = { horizonSeconds: 8, aheadShare: 0.6, idleShare: 0.15 }
+/** Covers the longest outages of the store seen so far, and leaves a part of each budget to draw on after a crash of all. */
+const POOL_POLICY: decisions.tokenPool.PoolPolicy = { horizonSeconds: 10, aheadShare: 0.75, idleShare: 0.2 }
 
 /** Another gateway that holds free tokens. */
 export interface TokenHolder {
@@ -56,7 +56,6 @@
   readonly #pool: decisions.tokenPool.TokenPool
   readonly #stop = new AbortController()
   readonly #replenishing = new Map<string, Promise<void>>()
-  #pageFailedAt = -Infinity
   #closing = false
 
   constructor (pool: decisions.tokenPool.TokenPool, options: TokenTaskOptions) {
@@ -123,7 +122,7 @@
       if (wanted > 0) changes.set(account, wanted)
       else changes.set(account, -this.#pool.take(account, -wanted))
     }
-    if (changes.size > 0) await this.#changePage(changes)
+    if (changes.size > 0) await this.#options.pages.ask(changes)
   }
 
   async #run (): Promise<void> {
@@ -147,9 +146,10 @@
   async #replenish (account: string, tokens: number): Promise<void> {
     const lacking = tokens - this.#pool.free(account)
     if (await this.#collect(account, lacking)) return
-    if (this.#options.clock.now() - this.#pageFailedAt < PAGE_RETRY_MS) return
+    if (this.#options.pages.isPaused()) return
     const target = this.#pool.target(account, this.#options.pages.remaining(account), this.#options.gateways(), POOL_POLICY, this.#seconds())
-    await this.#changePage(new Map([[account, Math.max(tokens - this.#pool.free(account), target)]]))
+    const drawn = this.#options.pages.ask(new Map([[account, Math.max(tokens - this.#pool.free(account), target)]]))
+    await Promise.race([drawn, this.#options.clock.sleep(PAGE_WAIT_MS)])
   }
 
   /** Asks the gateways that hold most until enough has come. */
@@ -166,11 +166,6 @@
     return rest <= 0
   }
 
-  async #changePage (changes: Map<string, number>): Promise<void> {
-    const result = await this.#options.pages.ask(changes)
-    if (result === pages.PageResult.unreachable) this.#pageFailedAt = this.#options.clock.now()
-  }
-
   /** Whether a fresh page and the other gateways together prove that the request does not fit. */
   #isUsedUp (account: string, tokens: number): boolean {
     if (this.#options.pages.ageMs() > PAGE_FRESH_MS) return false
