Take a reset answer without a length as cut, and hold more of each budget at hand

The budgets' pools ran dry after four of nine seconds without the store; prefixes were read on several targets.

--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -11,7 +11,7 @@
 }
 
 /** Cost of one running request to those beside it, as prompt tokens that would delay them as much. */
-const RUNNING_REQUEST_TOKENS = 150
+const RUNNING_REQUEST_TOKENS = 40
 
 /** Cost of each request beyond the slots, as prompt tokens. */
 const WAITING_REQUEST_TOKENS = 20_000
@@ -23,7 +23,7 @@
 const FAILING_TOKENS = 60_000
 
 /** Share of a prefix that is expected in the cache of its usual target, though this router has not sent it there. */
-const USUAL_TARGET_SHARE = 0.7
+const USUAL_TARGET_SHARE = 0.9
 
 /** Cost of one request in flight at a plain service, by its share of the slots. */
 const PLAIN_SLOT_COST = 10_000
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -34,6 +34,8 @@
 export interface SendRecord {
   target: string
   result: string
+  /** Why there is no answer. */
+  reason?: string
   milliseconds: number
 }
 
--- a/packages/gateway/src/object-watch.ts
+++ b/packages/gateway/src/object-watch.ts
@@ -7,7 +7,7 @@
 
 /** Pause after a failed call, in milliseconds. Doubles up to the longest. */
 const FIRST_PAUSE_MS = 50
-const LONGEST_PAUSE_MS = 400
+const LONGEST_PAUSE_MS = 1000
 
 /** What a watch works with. */
 export interface ObjectWatchOptions {
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -155,7 +155,7 @@
     promptRead()
     board.ended(target.id, healthOf(call, outcome), clock.now())
     span.end()
-    call.sends.push({ target: target.id, result: resultOf(outcome), milliseconds: Math.round(clock.now() - startedAt) })
+    call.sends.push({ target: target.id, result: resultOf(outcome), reason: 'reason' in outcome ? outcome.reason : undefined, milliseconds: Math.round(clock.now() - startedAt) })
     return outcome
   }
 
--- a/packages/gateway/src/token-pages.ts
+++ b/packages/gateway/src/token-pages.ts
@@ -8,7 +8,7 @@
 const MOST_TRIES = 6
 
 /** Time after a failure in which no further call is tried, in milliseconds. Requests must not queue behind timeouts. */
-const FAILURE_PAUSE_MS = 250
+const FAILURE_PAUSE_MS = 800
 
 /** Name of the page that holds all accounts. */
 const PAGE_NAME = 'prepaid'
--- a/packages/gateway/src/token-task.ts
+++ b/packages/gateway/src/token-task.ts
@@ -28,7 +28,7 @@
 const PAGE_WAIT_MS = 60
 
 /** Covers the longest outages of the store seen so far, and leaves a part of each budget to draw on after a crash of all. */
-const POOL_POLICY: decisions.tokenPool.PoolPolicy = { horizonSeconds: 10, aheadShare: 0.75, idleShare: 0.2 }
+const POOL_POLICY: decisions.tokenPool.PoolPolicy = { horizonSeconds: 12, aheadShare: 0.7, idleShare: 0.45 }
 
 /** Another gateway that holds free tokens. */
 export interface TokenHolder {
--- a/packages/runtime/src/http-call.ts
+++ b/packages/runtime/src/http-call.ts
@@ -43,6 +43,7 @@
 export function openCall (call: HttpCall): Promise<http.IncomingMessage> {
   return new Promise((resolve, reject) => {
     let connected = false
+    let answer: http.IncomingMessage | undefined
     const request = http.request(call.url, {
       method: call.method,
       headers: bodyHeaders(call),
@@ -65,8 +66,13 @@
     request.on('error', (error: NodeJS.ErrnoException) => {
       const notSent = !connected || NOT_CONNECTED_CODES.has(error.code ?? '')
       reject(new HttpCallError(error.message, notSent ? CallProgress.notSent : CallProgress.sent))
+      // An answer without a length ends with its connection. The parser takes a reset for that end, too.
+      if (answer !== undefined && !answer.complete) answer.destroy(error)
+    })
+    request.on('response', (response) => {
+      answer = response
+      resolve(response)
     })
-    request.on('response', resolve)
     request.end(call.body)
   })
 }
