--- a/packages/runtime/src/http-call.ts
+++ b/packages/runtime/src/http-call.ts
@@ -71,6 +71,7 @@
     })
     request.on('response', (response) => {
       answer = response
+      if (endsWithConnection(response)) response.socket.prependOnceListener('end', () => { failWhereReset(response) })
       resolve(response)
     })
     request.end(call.body)
@@ -100,6 +101,18 @@
   return Buffer.concat(chunks).toString('utf8')
 }
 
+function endsWithConnection (response: http.IncomingMessage): boolean {
+  return response.headers['content-length'] === undefined && response.headers['transfer-encoding'] === undefined
+}
+
+/**
+ * Where data and a reset arrive together, libuv reports the data and then a proper end. The reset still shows in that the
+ * socket has no peer any more.
+ */
+function failWhereReset (response: http.IncomingMessage): void {
+  if (response.socket.remoteAddress === undefined) response.destroy(new Error('connection reset'))
+}
+
 function connectTimer (call: HttpCall, request: http.ClientRequest): NodeJS.Timeout | undefined {
   if (call.connectTimeoutMs === undefined) return undefined
   return setTimeout(() => { request.destroy(new Error('connect timeout')) }, call.connectTimeoutMs)
--- a/packages/runtime/test/http-call.test.ts
+++ b/packages/runtime/test/http-call.test.ts
@@ -29,6 +29,11 @@
     name: 'refuses an answer without a length whose connection is reset',
     answer: (socket) => { socket.write(`${HEAD}\r\nbo`, () => { setTimeout(() => { socket.resetAndDestroy() }, 50) }) },
     whole: false
+  },
+  {
+    name: 'refuses an answer without a length whose last bytes arrive together with a reset',
+    answer: (socket) => { socket.write(`${HEAD}\r\nbo`, () => { socket.resetAndDestroy() }) },
+    whole: false
   }
 ]
 
