--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -23,6 +23,8 @@
   endedBy: 'caller' | 'deadline' | undefined
   /** Targets to which the request was sent, with how each send ended. */
   sends: SendRecord[]
+  /** What the budget's decision rested on, where it refused the call. */
+  budget?: Record<string, unknown>
   /** Events of a stream that were passed on. */
   events: number
   lastEventId: string | undefined
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -215,6 +215,8 @@
       agreementVersion: call.agreementVersion,
       agreementAgeMs: Math.round(this.#options.agreementAgeMs()),
       promptTokens: call.request.promptTokens,
+      outputTokens: call.request.maximumOutputTokens,
+      budget: call.budget,
       waitsMs: call.request.waitsMs,
       sends: call.sends,
       events: call.events,
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -86,6 +86,7 @@
   async #reserve (call: calls.Call, worstCase: number): Promise<string | undefined> {
     const outcome = await this.#options.tokens.reserve(call.account?.name ?? '', worstCase)
     if (outcome === tokens.ReserveOutcome.reserved) return undefined
+    call.budget = { wanted: worstCase, ...this.#options.tokens.inputs(call.account?.name ?? '') }
     if (outcome === tokens.ReserveOutcome.exhausted) {
       answers.refuse(call.response, { status: 402, reason: 'the request does not fit into the prepaid budget' })
       return 'budget-exhausted'
--- a/packages/gateway/src/token-pages.ts
+++ b/packages/gateway/src/token-pages.ts
@@ -102,6 +102,11 @@
       this.#resolvePending(() => false)
       this.#adopt(changed.page, outcome.result.revision)
       this.#enter(changed.applied)
+      this.#options.logger.info({
+        event: 'tokens-drawn',
+        revision: outcome.result.revision,
+        accounts: [...changed.applied].map(([account, tokens]) => ({ account, tokens, remaining: this.remaining(account) }))
+      })
       return 'done'
     }
     if (outcome.status === 'unknown') {
--- a/packages/gateway/src/token-task.ts
+++ b/packages/gateway/src/token-task.ts
@@ -76,6 +76,16 @@
     return Object.fromEntries([...this.#pool.levels()].map(([account, level]) => [account, level.free]))
   }
 
+  /** What a reservation was decided by, for the log. */
+  inputs (account: string): Record<string, unknown> {
+    return {
+      free: this.#pool.free(account),
+      elsewhere: this.#elsewhere(account),
+      remaining: this.#options.pages.remaining(account),
+      pageAgeMs: Math.round(this.#options.pages.ageMs())
+    }
+  }
+
   /** Reserves tokens for a request. */
   async reserve (account: string, tokens: number): Promise<ReserveOutcome> {
     for (let attempt = 0; attempt < MOST_TRIES; attempt++) {
@@ -169,8 +179,12 @@
   /** Whether a fresh page and the other gateways together prove that the request does not fit. */
   #isUsedUp (account: string, tokens: number): boolean {
     if (this.#options.pages.ageMs() > PAGE_FRESH_MS) return false
-    const elsewhere = this.#options.holders(account).reduce((sum, holder) => sum + holder.freeTokens, 0)
-    return this.#options.pages.remaining(account) + this.#pool.free(account) + elsewhere < tokens
+    return this.#options.pages.remaining(account) + this.#pool.free(account) + this.#elsewhere(account) < tokens
+  }
+
+  /** Free tokens at the other gateways, as last heard. */
+  #elsewhere (account: string): number {
+    return this.#options.holders(account).reduce((sum, holder) => sum + holder.freeTokens, 0)
   }
 
   #seconds (): number {
