--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -25,28 +25,38 @@
 /** Share of a prefix that is expected in the cache of its usual target, though this router has not sent it there. */
 const USUAL_TARGET_SHARE = 0.9
 
+/** Share of a cached prefix that it still costs to have it copied from another target. */
+const COPY_COST_SHARE = 0.25
+
+/** Fewest tokens worth copying from another target's cache. */
+const LEAST_COPIED_TOKENS = 256
+
 /** Cost of one request in flight at a plain service, by its share of the slots. */
 const PLAIN_SLOT_COST = 10_000
 
+/** Where a request goes, and which target's cache it can read shared parts from. */
+export interface Placement {
+  target: boards.TargetState
+  copyFrom?: boards.TargetState
+}
+
 /**
  * Chooses the target with the least expected delay. Answers load with shared prompts: a prefix stays where it was
- * read while the queue there is shorter than reading it again, and routers agree on a prefix's usual target by
- * rendezvous hashing, so that they need not tell each other.
+ * read while the queue there is short, and is copied rather than read again where it is not. Routers agree on a prefix's
+ * usual target by rendezvous hashing, so that they need not tell each other.
  */
-export function chooseTarget (board: boards.TargetBoard, request: PlacedRequest, tried: ReadonlySet<string>, now: number): boards.TargetState | undefined {
+export function chooseTarget (board: boards.TargetBoard, request: PlacedRequest, tried: ReadonlySet<string>, now: number): Placement | undefined {
   const all = board.ofService(request.service).filter((target) => !tried.has(target.entry.id))
   const healthy = all.filter((target) => target.setAsideUntil <= now)
   const candidates = healthy.length > 0 ? healthy : all
   const usual = usualTarget(candidates, request)
-  let best: boards.TargetState | undefined
-  let bestCost = Infinity
-  for (const target of candidates) {
-    const cost = expectedDelay(board, target, request, usual, now)
-    if (cost >= bestCost) continue
-    best = target
-    bestCost = cost
-  }
-  return best
+  const cached = new Map(candidates.map((target) => [target, cachedTokens(board, target.entry.id, request, target.entry.id === usual, now)]))
+  const holder = most(candidates, (target) => cached.get(target) ?? 0)
+  const copyable = holder === undefined ? 0 : cached.get(holder) ?? 0
+  const target = most(candidates, (candidate) => -expectedDelay(candidate, request, cached.get(candidate) ?? 0, copyable))
+  if (target === undefined) return undefined
+  const saved = copyable - (cached.get(target) ?? 0)
+  return { target, copyFrom: saved >= LEAST_COPIED_TOKENS && holder !== target ? holder : undefined }
 }
 
 /** Requests in flight at a target from all routers, as far as known. */
@@ -60,15 +70,28 @@
   return hashing.rendezvousOrder(candidates, last.id, (target) => target.entry.id)[0]?.entry.id
 }
 
-function expectedDelay (board: boards.TargetBoard, target: boards.TargetState, request: PlacedRequest, usual: string | undefined, now: number): number {
+/** Expected delay at a target, in prompt tokens that could be read meanwhile. */
+function expectedDelay (target: boards.TargetState, request: PlacedRequest, cached: number, copyable: number): number {
   const { entry } = target
   const running = inFlight(target)
   const zone = entry.availabilityZone === request.availabilityZone ? 0 : OTHER_ZONE_TOKENS
   const common = zone + target.failureRatio * FAILING_TOKENS + Math.max(0, running + 1 - entry.slots) * WAITING_REQUEST_TOKENS
   if (request.promptTokens === 0) return common + running / entry.slots * PLAIN_SLOT_COST
   const unread = target.own.unreadTokens + target.others.unreadTokens
-  const cached = cachedTokens(board, entry.id, request, entry.id === usual, now)
-  return common + running * RUNNING_REQUEST_TOKENS + unread + request.promptTokens - cached
+  const copied = Math.max(0, copyable - cached) * (1 - COPY_COST_SHARE)
+  return common + running * RUNNING_REQUEST_TOKENS + unread + request.promptTokens - cached - copied
+}
+
+function most<Item> (items: readonly Item[], measure: (item: Item) => number): Item | undefined {
+  let best: Item | undefined
+  let bestValue = -Infinity
+  for (const item of items) {
+    const value = measure(item)
+    if (value <= bestValue) continue
+    best = item
+    bestValue = value
+  }
+  return best
 }
 
 /** Prompt tokens that the target need not read again. A part counts only where all before it do. */
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -35,6 +35,8 @@
 /** One send of a request to a target. */
 export interface SendRecord {
   target: string
+  /** Target whose cache the prompt's shared parts were copied from. */
+  copyFrom?: string
   result: string
   /** Why there is no answer. */
   reason?: string
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -108,10 +108,10 @@
     let ran = 0
     let lastFailure: SendOutcome | undefined
     while (call.endedBy === undefined) {
-      const target = this.#choose(call, tried)
-      if (target === undefined || (tried.size > 0 && !this.#mayRepeat(call))) break
-      tried.add(target.entry.id)
-      const outcome = await this.#send(call, target.entry)
+      const placement = this.#choose(call, tried)
+      if (placement === undefined || (tried.size > 0 && !this.#mayRepeat(call))) break
+      tried.add(placement.target.entry.id)
+      const outcome = await this.#send(call, placement)
       if (outcome.kind === 'answered') return 'answered'
       lastFailure = outcome
       if (outcome.kind !== 'not-run') ran += 1
@@ -120,7 +120,7 @@
     return this.#giveUp(call, lastFailure)
   }
 
-  #choose (call: calls.Call, tried: ReadonlySet<string>): decisions.targetBoard.TargetState | undefined {
+  #choose (call: calls.Call, tried: ReadonlySet<string>): decisions.placement.Placement | undefined {
     return decisions.placement.chooseTarget(this.#options.board, {
       service: call.service,
       sharedParts: call.request.promptParts.slice(0, -1),
@@ -141,8 +141,9 @@
     return outcome.kind !== 'cut' || call.route.resumable
   }
 
-  async #send (call: calls.Call, target: decisions.agreementTypes.TargetEntry): Promise<SendOutcome> {
+  async #send (call: calls.Call, placement: decisions.placement.Placement): Promise<SendOutcome> {
     const { board, clock } = this.#options
+    const target = placement.target.entry
     const startedAt = clock.now()
     const unreadTokens = call.request.promptTokens ?? 0
     let unread = unreadTokens
@@ -152,20 +153,20 @@
     }
     const span = runtime.telemetry.startSpan('target', call.span, { target: target.id })
     board.started(target.id, unreadTokens, call.request.promptParts.map((part) => part.id), startedAt)
-    const outcome = await this.#exchange(call, target, promptRead, span)
+    const outcome = await this.#exchange(call, placement, promptRead, span)
     promptRead()
     board.ended(target.id, healthOf(call, outcome), clock.now())
     span.end()
-    call.sends.push({ target: target.id, result: resultOf(outcome), reason: 'reason' in outcome ? outcome.reason : undefined, milliseconds: Math.round(clock.now() - startedAt) })
+    call.sends.push({ target: target.id, copyFrom: placement.copyFrom?.entry.id, result: resultOf(outcome), reason: 'reason' in outcome ? outcome.reason : undefined, milliseconds: Math.round(clock.now() - startedAt) })
     return outcome
   }
 
-  async #exchange (call: calls.Call, target: decisions.agreementTypes.TargetEntry, promptRead: () => void, span: Parameters<typeof runtime.telemetry.headersFromSpan>[0]): Promise<SendOutcome> {
+  async #exchange (call: calls.Call, placement: decisions.placement.Placement, promptRead: () => void, span: Parameters<typeof runtime.telemetry.headersFromSpan>[0]): Promise<SendOutcome> {
     const sendEnded = new AbortController()
     const follow = (): void => { sendEnded.abort() }
     call.ended.signal.addEventListener('abort', follow)
     try {
-      const response = await this.#options.connections.send(this.#targetCall(call, target, sendEnded.signal, span), this.#connectionShare(call.service))
+      const response = await this.#options.connections.send(this.#targetCall(call, placement, sendEnded.signal, span), this.#connectionShare(call.service))
       return await this.#receive(call, response, promptRead, sendEnded)
     } catch (error) {
       const { knowledge, message } = asTargetError(error)
@@ -175,13 +176,15 @@
     }
   }
 
-  #targetCall (call: calls.Call, target: decisions.agreementTypes.TargetEntry, signal: AbortSignal, span: Parameters<typeof runtime.telemetry.headersFromSpan>[0]): connections.TargetCall {
+  #targetCall (call: calls.Call, placement: decisions.placement.Placement, signal: AbortSignal, span: Parameters<typeof runtime.telemetry.headersFromSpan>[0]): connections.TargetCall {
+    const target = placement.target.entry
     const remainingMs = call.deadlineAt - this.#options.clock.now()
     const facts: adapter.targetRequest.TargetRequestFacts = {
       targetId: target.id,
       remainingMs,
       account: call.account?.name,
       rank: call.request.promptTokens === undefined ? undefined : call.rank,
+      copyCacheFrom: placement.copyFrom?.entry.address,
       resumeAfter: call.lastEventId
     }
     return {
