--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  { ignores: ['**/dist/**', 'results/**'] },
+  { ignores: ['**/dist/**', 'results/**', 'target/**'] },
   ...neostandard({ ts: true }),
   {
     files: ['**/*.ts'],
--- a/packages/gateway/src/entry-server.ts
+++ b/packages/gateway/src/entry-server.ts
@@ -11,6 +11,9 @@
 /** Gateways of the caller's own availability zone from which on no other is told. */
 const ENOUGH_LOCAL_GATEWAYS = 2
 
+/** Mean load of a zone's gateways up to which their callers are kept in the zone. */
+const LOCAL_LOAD_LIMIT = 0.45
+
 /** What answering callers' questions needs. */
 export interface EntryServerOptions {
   /** Gateways that take callers, this one included. */
@@ -56,7 +59,17 @@
   #addressesFor (availabilityZone: string): string[] {
     const serving = this.#options.serving()
     const local = serving.filter((member) => member.availabilityZone === availabilityZone)
-    const told = local.length >= ENOUGH_LOCAL_GATEWAYS ? local : serving
+    const hasRoom = local.length >= ENOUGH_LOCAL_GATEWAYS && meanLoad(local) <= Math.max(LOCAL_LOAD_LIMIT, meanLoad(serving))
+    const told = hasRoom ? local : spread(serving)
     return told.slice(0, MOST_ADDRESSES).map((member) => member.callerAddress)
   }
 }
+
+function meanLoad (members: readonly routers.gatewayMessages.GatewayMember[]): number {
+  return members.reduce((sum, member) => sum + member.load, 0) / Math.max(1, members.length)
+}
+
+/** Starts at the least loaded, so that a cut list leaves out the busiest. */
+function spread (members: readonly routers.gatewayMessages.GatewayMember[]): routers.gatewayMessages.GatewayMember[] {
+  return [...members].sort((left, right) => left.load - right.load)
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import * as logs from './decision-log.js'
 import * as entries from './entry-server.js'
 import * as metrics from './gateway-metrics.js'
+import * as loads from './load-meter.js'
 import * as peerTables from './peer-table.js'
 import * as peerTasks from './peer-task.js'
 import * as flows from './request-flow.js'
@@ -35,6 +36,12 @@
 /** Pause between two tries to register, in milliseconds. */
 const REGISTER_PAUSE_MS = 500
 
+/** Reported where the store has not answered yet, in milliseconds. */
+const UNREACHED_MS = 1_000_000
+
+/** Pause between two looks whether this gateway has to watch the store, in milliseconds. */
+const DUTY_CHECK_MS = 1000
+
 /** What a gateway runs with. */
 export interface GatewayOptions {
   fleet: adapter.settingsFile.FleetSettings
@@ -63,9 +70,9 @@
   readonly #metrics: metrics.GatewayMetrics
   readonly #callers: callerServers.CallerServer
   readonly #entry: entries.EntryServer
+  readonly #load: loads.LoadMeter
   readonly #stop = new AbortController()
   #agreementConfirmedAt = -Infinity
-  #targetsFromPeer = false
   #leaving = false
 
   constructor (options: GatewayOptions) {
@@ -75,13 +82,16 @@
     this.#logger = options.log.logger.child({ incarnation: this.#incarnation })
     this.#store = new adapter.storeClient.StoreClient({ address: options.fleet.storeAddress, timeoutMs: STORE_TIMEOUT_MS, logger: this.#logger })
     this.#peers = new peerTables.PeerTable(options.fleet.peerListen)
-    const shared = { store: this.#store, clock: this.#clock, logger: this.#logger }
+    this.#load = new loads.LoadMeter(this.#clock, options.fleet.processorShare)
+    const pauseMs = (): number => this.#hasWatchDuty() ? 0 : DUTY_CHECK_MS
+    const shared = { store: this.#store, clock: this.#clock, logger: this.#logger, pauseMs }
     this.#configuration = new configurations.ConfigurationWatch(shared, (table) => { this.#useAgreement(table) })
     this.#targets = new targetWatches.TargetWatch(shared, this.#board)
     this.#pages = new tokenPages.TokenPages({
       ...shared,
       incarnation: this.#incarnation,
       totals: () => this.#totals(),
+      gateways: () => this.#gateways(),
       onTokens: (account, tokens) => { this.#pool.add(account, tokens) }
     })
     this.#tokens = this.#createTokenTask()
@@ -152,7 +162,7 @@
   }
 
   #isReady (): boolean {
-    return !this.#leaving && this.#configuration.table !== undefined && (this.#targets.revision > 0 || this.#targetsFromPeer)
+    return !this.#leaving && this.#configuration.table !== undefined && this.#targets.changeRevision > 0
   }
 
   #serving (): routers.gatewayMessages.GatewayMember[] {
@@ -172,17 +182,18 @@
       callerAddress: this.#fleet.callerListen,
       availabilityZone: this.#fleet.availabilityZone,
       leaving: this.#leaving,
-      ready: this.#isReady()
+      ready: this.#isReady(),
+      load: this.#load.load(),
+      storeSilenceMs: Math.round(Math.min(this.#configuration.silenceMs(), UNREACHED_MS))
     }
   }
 
   #heartbeat (): routers.gatewayMessages.GatewayHeartbeat {
-    const live = this.#peers.live(this.#clock.now())
     return {
       sender: this.#member(),
-      peers: live.map((heartbeat) => heartbeat.sender.peerAddress),
+      heard: this.#peers.heard(this.#clock.now()),
       agreementVersion: this.#configuration.version,
-      targetsRevision: this.#targets.revision,
+      targetsRevision: this.#targets.changeRevision,
       work: Object.entries(this.#board.ownWork()).map(([id, work]) => ({ id, ...work })),
       freeTokens: this.#tokens.freeTokens(),
       leavingTargets: this.#board.entries().filter((entry) => entry.leaving).map((entry) => entry.id)
@@ -193,26 +204,37 @@
     const now = this.#clock.now()
     for (const id of heartbeat.leavingTargets) this.#board.markLeaving(id)
     this.#board.useOthersWork(this.#peers.work(now))
-    if (heartbeat.agreementVersion === this.#configuration.version) this.#agreementConfirmedAt = now
-    const needsTargets = this.#targets.revision === 0 && !this.#targetsFromPeer && heartbeat.targetsRevision > 0
+    if (heartbeat.agreementVersion === this.#configuration.version) {
+      this.#agreementConfirmedAt = Math.max(this.#agreementConfirmedAt, now - heartbeat.sender.storeSilenceMs)
+    }
+    const needsTargets = heartbeat.targetsRevision > this.#targets.changeRevision && (this.#targets.changeRevision === 0 || !this.#hasWatchDuty())
     if (heartbeat.agreementVersion > this.#configuration.version || needsTargets) void this.#peerTask.fetchState(heartbeat.sender.peerAddress)
   }
 
-  #state (): routers.gatewayMessages.GatewayState {
+  #hasWatchDuty (): boolean {
+    const others = this.#peers.live(this.#clock.now()).map((heartbeat) => heartbeat.sender)
+    const watchers = others.map((member) => ({ name: member.host, availabilityZone: member.availabilityZone, storeSilenceMs: member.storeSilenceMs }))
+    return decisions.watchDuty.hasWatchDuty({ name: this.#fleet.host, availabilityZone: this.#fleet.availabilityZone, storeSilenceMs: 0 }, watchers)
+  }
+
+  #known (): routers.gatewayMessages.StateRequest {
+    return { agreementVersion: this.#configuration.version, targetsRevision: this.#targets.changeRevision }
+  }
+
+  #state (known: routers.gatewayMessages.StateRequest): routers.gatewayMessages.GatewayState {
     const agreement = this.#configuration.table?.agreement
+    const isNewer = agreement !== undefined && agreement.version > known.agreementVersion
+    const targetsRevision = this.#targets.changeRevision
     return {
-      agreement: agreement === undefined ? '' : JSON.stringify(agreement),
-      targets: JSON.stringify(this.#board.entries()),
-      targetsRevision: this.#targets.revision
+      agreement: isNewer ? JSON.stringify(agreement) : '',
+      targets: targetsRevision > known.targetsRevision ? JSON.stringify(this.#board.entries()) : '',
+      targetsRevision
     }
   }
 
   #useState (state: routers.gatewayMessages.GatewayState): void {
     if (state.agreement !== '') this.#configuration.take(JSON.parse(state.agreement), configurations.AgreementSource.peer)
-    if (this.#targets.revision > 0 || state.targetsRevision === 0) return
-    this.#targetsFromPeer = true
-    this.#board.use(JSON.parse(state.targets))
-    this.#logger.info({ event: 'targets-from-gateway', revision: state.targetsRevision, targets: this.#board.entries().length })
+    if (state.targets !== '') this.#targets.takeFromPeer(JSON.parse(state.targets), state.targetsRevision)
   }
 
   #useAgreement (table: decisions.routeTable.RouteTable): void {
@@ -276,7 +298,8 @@
       clock: this.#clock,
       logger: this.#logger,
       heartbeat: () => this.#heartbeat(),
-      state: () => this.#state(),
+      state: (known) => this.#state(known),
+      known: () => this.#known(),
       giveTokens: (account, tokens) => this.#tokens.giveAway(account, tokens),
       onHeartbeat: (heartbeat) => { this.#hear(heartbeat) },
       onState: (state) => { this.#useState(state) }
--- a/packages/gateway/src/object-watch.ts
+++ b/packages/gateway/src/object-watch.ts
@@ -15,6 +15,8 @@
   store: platform.objectStore.ObjectStore
   clock: decisions.clock.Clock
   logger: runtime.logging.Logger
+  /** Pause before the next call, in milliseconds, where other gateways watch for this one; 0 where it watches itself. */
+  pauseMs: () => number
 }
 
 /** Follows the objects of one kind: lists them, then watches for changes, and lists anew where history was lost. */
@@ -59,6 +61,7 @@
 
   async #run (): Promise<void> {
     while (!this.#stop.signal.aborted) {
+      await this.#yieldToOthers()
       const failure = this.#revision === undefined ? await this.#list() : await this.#watch(this.#revision)
       if (failure === undefined) {
         this.#reached()
@@ -75,6 +78,15 @@
     }
   }
 
+  /** Waits while other gateways watch. What changed meanwhile came from them; a list makes up for what did not. */
+  async #yieldToOthers (): Promise<void> {
+    if (this.#revision === undefined) return
+    for (let pauseMs = this.#options.pauseMs(); pauseMs > 0; pauseMs = this.#options.pauseMs()) {
+      await this.#options.clock.sleep(pauseMs, this.#stop.signal)
+      if (this.#stop.signal.aborted) return
+    }
+  }
+
   async #list (): Promise<platform.objectStore.StoreFailure | undefined> {
     const outcome = await this.#options.store.list(this.#options.kind)
     if (outcome.status !== 'done') return outcome
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -10,8 +10,11 @@
 /** Time between two rounds of heartbeats, in milliseconds. */
 const EXCHANGE_INTERVAL_MS = 300
 
-/** Gateways exchanged with in one round. A larger fleet is covered over several rounds. */
-const EXCHANGES_A_ROUND = 8
+/** Largest fleet in which each gateway exchanges with all others in each round. */
+const SMALL_FLEET = 12
+
+/** Gateways exchanged with in one round of a larger fleet. */
+const EXCHANGES_A_ROUND = 3
 
 /** Longest wait for a heartbeat's answer, in milliseconds. */
 const EXCHANGE_TIMEOUT_MS = 500
@@ -32,7 +35,9 @@
   clock: decisions.clock.Clock
   logger: runtime.logging.Logger
   heartbeat: () => Heartbeat
-  state: () => routers.gatewayMessages.GatewayState
+  state: (request: routers.gatewayMessages.StateRequest) => routers.gatewayMessages.GatewayState
+  /** What this gateway has already. */
+  known: () => routers.gatewayMessages.StateRequest
   giveTokens: (account: string, tokens: number) => number
   /** Called with each heartbeat heard. */
   onHeartbeat: (heartbeat: Heartbeat) => void
@@ -90,7 +95,7 @@
   override async answer<Name extends keyof Calls> (name: Name, request: Calls[Name]['request']): Promise<Calls[Name]['reply']> {
     if (name === 'Exchange') return this.#answerHeartbeat(request as Heartbeat)
     if (name === 'TransferTokens') return this.#answerTransfer(request as Calls['TransferTokens']['request'])
-    return this.#options.state()
+    return this.#options.state(request as Calls['FetchState']['request'])
   }
 
   #answerHeartbeat (heartbeat: Heartbeat): Heartbeat {
@@ -120,7 +125,7 @@
 
   #nextRound (): string[] {
     const addresses = this.#options.table.addresses(this.#options.clock.now())
-    if (addresses.length <= EXCHANGES_A_ROUND) return addresses
+    if (addresses.length <= SMALL_FLEET) return addresses
     const round: string[] = []
     for (let count = 0; count < EXCHANGES_A_ROUND; count++) {
       round.push(addresses[this.#next % addresses.length])
@@ -149,7 +154,7 @@
     if (this.#fetching) return
     this.#fetching = true
     try {
-      this.#options.onState(await this.#client.call(peerAddress, 'FetchState', {}, STATE_TIMEOUT_MS))
+      this.#options.onState(await this.#client.call(peerAddress, 'FetchState', this.#options.known(), STATE_TIMEOUT_MS))
     } catch (error) {
       this.#options.logger.warn({ event: 'state-fetch-failed', peer: peerAddress, reason: (error as Error).message })
     } finally {
--- a/packages/gateway/src/target-watch.ts
+++ b/packages/gateway/src/target-watch.ts
@@ -10,6 +10,7 @@
 export class TargetWatch extends watches.ObjectWatch {
   readonly #board: decisions.targetBoard.TargetBoard
   readonly #clock: decisions.clock.Clock
+  #changeRevision = 0
 
   constructor (options: Omit<watches.ObjectWatchOptions, 'kind'>, board: decisions.targetBoard.TargetBoard) {
     super({ ...options, kind: adapter.objectKinds.ObjectKind.targets })
@@ -17,7 +18,21 @@
     this.#clock = options.clock
   }
 
+  /** Store revision of the last change of the targets that this gateway knows; 0 before the first list. */
+  get changeRevision (): number {
+    return this.#changeRevision
+  }
+
+  /** Takes the targets that another gateway knows, where it knows newer ones. */
+  takeFromPeer (entries: decisions.agreementTypes.TargetEntry[], revision: number): void {
+    if (revision <= this.#changeRevision) return
+    this.logger.info({ event: 'targets-from-gateway', revision, previous: this.#changeRevision, targets: entries.length })
+    this.#changeRevision = revision
+    this.#board.use(entries)
+  }
+
   protected override useList (objects: platform.objectStore.StoreObject[], revision: number, afterOutage: boolean): void {
+    this.#changeRevision = Math.max(this.#changeRevision, revision)
     const entries = objects.map((object) => this.#decode(object)).filter((entry) => entry !== undefined)
     const present = new Set(entries.map((entry) => entry.id))
     const missing = this.#board.entries().filter((entry) => !present.has(entry.id))
@@ -31,6 +46,7 @@
   }
 
   protected override useEvents (events: platform.objectStore.ObjectEvent[], revision: number): void {
+    this.#changeRevision = Math.max(this.#changeRevision, revision)
     for (const event of events) {
       if (event.removed) this.#remove(event.object.name, revision)
       else this.#put(event.object)
--- a/packages/gateway/src/token-pages.ts
+++ b/packages/gateway/src/token-pages.ts
@@ -10,6 +10,9 @@
 /** Time after a failure in which no further call is tried, in milliseconds. Requests must not queue behind timeouts. */
 const FAILURE_PAUSE_MS = 800
 
+/** Added to that for each gateway beyond ten, in milliseconds, so that a large fleet does not storm a store in trouble. */
+const FAILURE_PAUSE_PER_GATEWAY_MS = 40
+
 /** Name of the page that holds all accounts. */
 const PAGE_NAME = 'prepaid'
 
@@ -29,6 +32,8 @@
   clock: decisions.clock.Clock
   logger: runtime.logging.Logger
   totals: () => PrepaidTotals | undefined
+  /** Live gateways, this one included. */
+  gateways: () => number
   /** Called with what a change has drawn (positive), or with what could not be returned (positive too). */
   onTokens: (account: string, tokens: number) => void
 }
@@ -77,7 +82,8 @@
 
   /** Whether the last call failed so lately that the next would most likely fail too. */
   isPaused (): boolean {
-    return this.#options.clock.now() - this.#failedAt < FAILURE_PAUSE_MS
+    const pauseMs = FAILURE_PAUSE_MS + Math.max(0, this.#options.gateways() - 10) * FAILURE_PAUSE_PER_GATEWAY_MS
+    return this.#options.clock.now() - this.#failedAt < pauseMs
   }
 
   protected override async handle (wanted: Map<string, number>): Promise<PageResult> {
--- a/packages/gateway/src/token-task.ts
+++ b/packages/gateway/src/token-task.ts
@@ -10,7 +10,10 @@
 const BALANCE_INTERVAL_MS = 1000
 
 /** Added to the interval for each gateway beyond ten, in milliseconds, so that writes of the page seldom meet. */
-const BALANCE_INTERVAL_PER_GATEWAY_MS = 30
+const BALANCE_INTERVAL_PER_GATEWAY_MS = 80
+
+/** Least time between two draws for waiting requests, for each gateway, in milliseconds. */
+const DRAW_INTERVAL_PER_GATEWAY_MS = 10
 
 /** Changes smaller than this share of an account's total are left for later. */
 const SMALLEST_CHANGE_SHARE = 0.002
@@ -56,6 +59,7 @@
   readonly #pool: decisions.tokenPool.TokenPool
   readonly #stop = new AbortController()
   readonly #replenishing = new Map<string, Promise<void>>()
+  #drawnAt = -Infinity
   #closing = false
 
   constructor (pool: decisions.tokenPool.TokenPool, options: TokenTaskOptions) {
@@ -156,7 +160,9 @@
   async #replenish (account: string, tokens: number): Promise<void> {
     const lacking = tokens - this.#pool.free(account)
     if (await this.#collect(account, lacking)) return
-    if (this.#options.pages.isPaused()) return
+    const now = this.#options.clock.now()
+    if (this.#options.pages.isPaused() || now - this.#drawnAt < this.#options.gateways() * DRAW_INTERVAL_PER_GATEWAY_MS) return
+    this.#drawnAt = now
     const target = this.#pool.target(account, this.#options.pages.remaining(account), this.#options.gateways(), POOL_POLICY, this.#seconds())
     const drawn = this.#options.pages.ask(new Map([[account, Math.max(tokens - this.#pool.free(account), target)]]))
     await Promise.race([drawn, this.#options.clock.sleep(PAGE_WAIT_MS)])
--- a/packages/routers/src/gateway-messages.ts
+++ b/packages/routers/src/gateway-messages.ts
@@ -1,5 +1,3 @@
-import type * as messages from './peer-messages.js'
-
 /** What a gateway tells the others of itself. */
 export interface GatewayMember {
   host: string
@@ -10,6 +8,17 @@
   availabilityZone: string
   leaving: boolean
   ready: boolean
+  /** Share of its processor time that the gateway used lately. */
+  load: number
+  /** Time since the store last answered the gateway, in milliseconds. */
+  storeSilenceMs: number
+}
+
+/** A gateway that the sender hears, directly or through others. */
+export interface HeardGateway {
+  peerAddress: string
+  /** Time since its last sign of life, in milliseconds. */
+  ageMs: number
 }
 
 /** A gateway's own requests in flight at a target. */
@@ -22,8 +31,7 @@
 /** What two gateways tell each other at each exchange. */
 export interface GatewayHeartbeat {
   sender: GatewayMember
-  /** Peer addresses of the other gateways that the sender hears. */
-  peers: string[]
+  heard: HeardGateway[]
   agreementVersion: number
   targetsRevision: number
   work: TargetWorkMessage[]
@@ -44,7 +52,13 @@
   tokens: number
 }
 
-/** The agreement and the targets that a gateway knows, as JSON. */
+/** Names what the sender has already. */
+export interface StateRequest {
+  agreementVersion: number
+  targetsRevision: number
+}
+
+/** The agreement and the targets that a gateway knows, as JSON; empty where it has nothing newer. */
 export interface GatewayState {
   agreement: string
   targets: string
@@ -55,5 +69,5 @@
 export interface GatewayCalls {
   Exchange: { request: GatewayHeartbeat, reply: GatewayHeartbeat }
   TransferTokens: { request: TokenTransferRequest, reply: TokenTransferReply }
-  FetchState: { request: messages.Empty, reply: GatewayState }
+  FetchState: { request: StateRequest, reply: GatewayState }
 }
