--- /dev/null
+++ b/packages/gateway/test/budgets.test.ts
@@ -0,0 +1,82 @@
+import * as standIns from '@acaciaweir/stand-ins'
+import * as chai from 'chai'
+import * as fleets from './fleet.js'
+
+const { expect } = chai
+const { StoreFault } = standIns.publishedStore
+
+const ACCOUNT = { name: 'depot', key: 'key-depot', prepaid: 20_000 }
+
+/** Sends model requests to all gateways in turn and returns how many were served. */
+async function spend (fleet: fleets.TestFleet, requests: number, gateways = fleet.settings.length): Promise<number> {
+  let served = 0
+  for (let count = 0; count < requests; count += 10) {
+    const answers = await Promise.all(Array.from({ length: 10 }, async (_value, index) => await fleet.callModel((count + index) % gateways, '/plan/1', 190, 10)))
+    served += answers.filter((answer) => answer.status === 200).length
+  }
+  return served
+}
+
+describe('prepaid budgets', function () {
+  let fleet: fleets.TestFleet
+
+  beforeEach(async () => { fleet = await fleets.TestFleet.start({ gateways: 3, engines: 2, accounts: [ACCOUNT], engine: { events: 4, eventIntervalMs: 1 } }) })
+  afterEach(() => { fleet.stop() })
+
+  const outages: Array<{ name: string, fault: standIns.publishedStore.StoreFault, leastShare: number }> = [
+    { name: 'with the store at hand', fault: StoreFault.none, leastShare: 0.97 },
+    { name: 'while the store turns calls away', fault: StoreFault.busy, leastShare: 0.3 },
+    { name: 'while the store is silent', fault: StoreFault.silent, leastShare: 0.3 },
+    { name: 'while the store resets connections', fault: StoreFault.reset, leastShare: 0.3 },
+    { name: 'while the store loses answers', fault: StoreFault.loseAnswers, leastShare: 0.25 }
+  ]
+  for (const { name, fault, leastShare } of outages) {
+    it(`are never overspent and are used ${name}`, async () => {
+      await spend(fleet, 10)
+      await new Promise<void>((resolve) => { setTimeout(resolve, 1200) })
+      fleet.store.fault = fault
+      await spend(fleet, 150)
+      const served = fleet.served(ACCOUNT.name)
+      expect(served).to.be.at.most(ACCOUNT.prepaid)
+      expect(served).to.be.at.least(ACCOUNT.prepaid * leastShare)
+    })
+  }
+
+  it('are not overspent after all gateways died at once', async () => {
+    await spend(fleet, 40)
+    for (const gateway of fleet.gateways) gateway.stopNow()
+    for (const settings of fleet.settings) await fleet.startGateway(settings)
+    for (let index = 0; index < 3; index++) await fleet.ready(index)
+    await spend(fleet, 150)
+    expect(fleet.served(ACCOUNT.name)).to.be.within(ACCOUNT.prepaid * 0.25, ACCOUNT.prepaid)
+  })
+
+  it('take a raised total at once, and hold to a lowered one', async () => {
+    await spend(fleet, 150)
+    fleet.accounts = [{ ...ACCOUNT, prepaid: 30_000 }]
+    fleet.configure()
+    await fleets.eventually(async () => (await fleet.callModel(0, '/plan/1', 190, 10)).status === 200)
+    await spend(fleet, 100)
+    expect(fleet.served(ACCOUNT.name)).to.be.within(29_000, 30_000)
+    fleet.accounts = [{ ...ACCOUNT, prepaid: 10_000 }]
+    fleet.configure()
+    expect((await fleet.callModel(1, '/plan/1', 190, 10)).status).to.be.oneOf([402, 503])
+  })
+
+  it('give back what a leaving gateway held', async () => {
+    await spend(fleet, 30)
+    const drawn = (): number => (fleet.store.read('acaciaweir-token-pages', 'prepaid') as { drawn: Record<string, number> }).drawn.depot
+    const before = drawn()
+    void fleet.gateways[2].shutDown()
+    await fleets.eventually(() => drawn() < before)
+    await spend(fleet, 150, 2)
+    expect(fleet.served(ACCOUNT.name)).to.be.within(ACCOUNT.prepaid * 0.95, ACCOUNT.prepaid)
+  })
+
+  it('leave a page that cannot be read as it is, and refuse', async () => {
+    fleet.store.put('acaciaweir-token-pages', 'prepaid', { spoilt: true })
+    await spend(fleet, 150)
+    expect(fleet.served(ACCOUNT.name)).to.be.at.most(ACCOUNT.prepaid)
+    expect(fleet.store.read('acaciaweir-token-pages', 'prepaid')).to.deep.equal({ spoilt: true })
+  })
+})
--- /dev/null
+++ b/packages/gateway/test/serving.test.ts
@@ -0,0 +1,128 @@
+import * as standIns from '@acaciaweir/stand-ins'
+import * as chai from 'chai'
+import * as fleets from './fleet.js'
+
+const { expect } = chai
+const { TargetFault } = standIns.publishedTarget
+
+describe('serving callers', () => {
+  let fleet: fleets.TestFleet
+
+  beforeEach(async () => { fleet = await fleets.TestFleet.start({ gateways: 1, engines: 2, plain: 2 }) })
+  afterEach(() => { fleet.stop() })
+
+  it('streams an answer whole, with the target\'s headers', async () => {
+    const answer = await fleet.callModel(0, '/plan/day', 100, 50)
+    expect(answer.status).to.equal(200)
+    expect(answer.whole).to.equal(true)
+    expect(answer.headers['replica-seal']).to.match(/^seal-engines-/)
+    expect(answer.body.match(/^id: \d+$/gm)).to.deep.equal(['id: 1', 'id: 2', 'id: 3', 'id: 4', 'id: 5', 'id: 6'])
+  })
+
+  it('passes the account on and keeps the key', async () => {
+    await fleet.call(0, '/order/7', { tenant: 'somebody-else', hold: 'h1', 'kv-from': '10.0.0.1:1/x' }, 'body')
+    const [run] = fleet.targets.flatMap((target) => target.runs)
+    expect(run.account).to.equal('depot')
+    expect(run.keyPassedOn).to.equal(false)
+    expect(run.remainingMs).to.be.within(3000, 4000)
+  })
+
+  const refused: Array<{ name: string, path: string, headers: Record<string, string>, body?: string, status: number }> = [
+    { name: 'an unknown route', path: '/nowhere/', headers: {}, status: 404 },
+    { name: 'an unknown host', path: '/order/1', headers: { host: 'other.example' }, status: 404 },
+    { name: 'an unknown key', path: '/order/1', headers: { 'api-key': 'guess' }, status: 401 },
+    { name: 'a model request without token counts', path: '/plan/day', headers: {}, status: 400 },
+    { name: 'bad token counts', path: '/plan/day', headers: { 'token-counts': '12' }, status: 400 },
+    { name: 'a bad prompt prefix', path: '/plan/day', headers: { 'token-counts': '12,1', 'prompt-prefix': 'zz' }, status: 400 },
+    { name: 'a bad deadline', path: '/order/1', headers: { 'deadline-remaining-ms': 'soon' }, status: 400 },
+    { name: 'a deadline that has passed', path: '/order/1', headers: { 'deadline-remaining-ms': '5' }, status: 503 },
+    { name: 'a body over the limit', path: '/order/1', headers: {}, body: 'x'.repeat(70_000), status: 413 }
+  ]
+  for (const { name, path, headers, body, status } of refused) {
+    it(`refuses ${name} with ${status}, and sends nothing on`, async () => {
+      const answer = await fleet.call(0, path, headers, body)
+      expect(answer.status).to.equal(status)
+      expect(fleet.targets.flatMap((target) => target.runs)).to.have.length(0)
+    })
+  }
+
+  const failures: Array<{ name: string, path: string, fault: standIns.publishedTarget.TargetFault, status: number, mostRuns: number }> = [
+    { name: 'repeats a repeatable request whose answer was lost', path: '/stock/1', fault: TargetFault.loseAnswers, status: 200, mostRuns: 2 },
+    { name: 'repeats a repeatable request that failed', path: '/stock/1', fault: TargetFault.failing, status: 200, mostRuns: 2 },
+    { name: 'repeats a repeatable request that got a foreign answer', path: '/stock/1', fault: TargetFault.foreignAnswers, status: 200, mostRuns: 2 },
+    { name: 'never sends a request that may run once again after its answer was lost', path: '/order/1', fault: TargetFault.loseAnswers, status: 502, mostRuns: 1 },
+    { name: 'passes a failure of a request that may run once on', path: '/order/1', fault: TargetFault.failing, status: 500, mostRuns: 1 },
+    { name: 'sends a request that may run once elsewhere where the first target is full', path: '/order/1', fault: TargetFault.full, status: 200, mostRuns: 1 }
+  ]
+  for (const { name, path, fault, status, mostRuns } of failures) {
+    it(name, async () => {
+      const plain = fleet.targets.filter((target) => target.options.service === 'orders')
+      plain[0].fault = fault
+      for (let count = 0; count < 6; count++) {
+        const answer = await fleet.call(0, path, { 'attempt-id': `request-${count}` }, path === '/order/1' ? 'order' : '')
+        const runs = plain.flatMap((target) => target.runs).filter((run) => run.attemptId === `request-${count}`)
+        const metFault = runs.some((run) => plain[0].runs.includes(run)) || fault === TargetFault.full
+        expect(runs.length).to.be.at.most(mostRuns)
+        if (metFault) expect(answer.status).to.equal(status)
+        else expect(answer.status).to.equal(200)
+      }
+      expect(plain[0].arrivals).to.be.greaterThan(0)
+    })
+  }
+
+  it('takes no bytes after an answer for the next one', async () => {
+    for (const target of fleet.targets) target.fault = TargetFault.extraBytes
+    for (let count = 0; count < 8; count++) {
+      const answer = await fleet.call(0, `/order/${count}`, {}, 'order')
+      expect(answer.status).to.equal(200)
+      expect(answer.body).to.contain(`ran /order/${count}`)
+    }
+  })
+
+  it('goes on with a broken stream that may be resumed, each event once', async () => {
+    await fleet.callModel(0, '/reply/1', 100, 50)
+    const usual = fleet.targets.find((target) => target.runs.length > 0)
+    const other = fleet.targets.find((target) => target.runs.length === 0 && target.options.service === 'engines')
+    if (usual === undefined) throw new Error('no target ran the request')
+    usual.fault = TargetFault.cutStreams
+    const answer = await fleet.callModel(0, '/reply/1', 100, 50)
+    expect(answer.whole).to.equal(true)
+    expect(answer.body.match(/^id: \d+$/gm)).to.deep.equal(['id: 1', 'id: 2', 'id: 3', 'id: 4', 'id: 5', 'id: 6'])
+    expect(answer.headers['replica-seal']).to.equal(`seal-${usual.options.id}`)
+    expect(other?.runs.map((run) => run.resumedAfter)).to.deep.equal([3])
+  })
+
+  it('lets a broken stream that may not be resumed look broken', async () => {
+    for (const target of fleet.targets) target.fault = TargetFault.cutStreams
+    const answer = await fleet.callModel(0, '/plan/1', 100, 50)
+    expect(answer.whole).to.equal(false)
+    expect(fleet.targets.flatMap((target) => target.runs)).to.have.length(1)
+  })
+
+  it('gives its final answer when the route\'s time is over', async () => {
+    fleet.configure({ timeoutMs: 400 })
+    await fleets.eventually(async () => (await fleet.call(0, '/stock/1')).status === 200)
+    for (const target of fleet.targets) target.fault = TargetFault.mute
+    const startedAt = performance.now()
+    const answer = await fleet.call(0, '/order/1', {}, 'order')
+    expect(answer.status).to.equal(504)
+    expect(performance.now() - startedAt).to.be.within(300, 800)
+  })
+
+  it('sends nothing to a target once it is leaving', async () => {
+    const [leaving] = fleet.targets
+    fleet.store.put('servers', leaving.options.id, leaving.entry('draining'))
+    await new Promise<void>((resolve) => { setTimeout(resolve, 300) })
+    const before = leaving.arrivals
+    for (let count = 0; count < 8; count++) await fleet.callModel(0, '/plan/1', 50, 10)
+    expect(leaving.arrivals).to.equal(before)
+  })
+
+  it('tells callers where to connect, until it is leaving', async () => {
+    const resolve = async (): Promise<string> => (await fleets.get(`http://${fleet.settings[0].directoryListen}/resolve?Name=${fleets.HOST}&Region=region&Zone=zone-a`)).body
+    expect(JSON.parse(await resolve())).to.deep.equal({ Addresses: [fleet.settings[0].callerListen], TtlS: 2 })
+    void fleet.gateways[0].shutDown()
+    await fleets.eventually(async () => (await fleets.get(`http://${fleet.settings[0].readyListen}/ready`)).status === 503)
+    expect(JSON.parse(await resolve()).Addresses).to.deep.equal([])
+  })
+})
