--- /dev/null
+++ b/packages/decisions/test/tokens.test.ts
@@ -0,0 +1,78 @@
+import * as chai from 'chai'
+import * as tokenPage from '../src/token-page.js'
+import * as tokenPool from '../src/token-pool.js'
+
+const { expect } = chai
+
+function page (total: number, drawn: number): tokenPage.TokenPage {
+  return { version: 1, totals: { depot: total }, drawn: { depot: drawn }, changes: {} }
+}
+
+describe('the token page', () => {
+  const changes: Array<{ name: string, total: number, drawn: number, wanted: number, after: number }> = [
+    { name: 'grants what is asked', total: 100, drawn: 10, wanted: 20, after: 30 },
+    { name: 'cuts a draw to what remains', total: 100, drawn: 90, wanted: 20, after: 100 },
+    { name: 'grants nothing over a lowered total', total: 50, drawn: 90, wanted: 20, after: 90 },
+    { name: 'takes tokens back', total: 100, drawn: 90, wanted: -20, after: 70 },
+    { name: 'takes no more back than was drawn', total: 100, drawn: 10, wanted: -20, after: 0 }
+  ]
+  for (const { name, total, drawn, wanted, after } of changes) {
+    it(name, () => {
+      const changed = tokenPage.change(page(total, drawn), 'gateway-1', 4, new Map([['depot', wanted]]))
+      expect(changed.page.drawn.depot).to.equal(after)
+      expect(changed.applied.get('depot') ?? 0).to.equal(after - drawn)
+      expect(changed.page.changes).to.deep.equal({ 'gateway-1': 4 })
+    })
+  }
+
+  it('never goes back to the totals of an older agreement', () => {
+    const newer = tokenPage.withTotals(page(100, 0), 5, { depot: 70 })
+    expect(tokenPage.withTotals(newer, 4, { depot: 100 }).totals.depot).to.equal(70)
+  })
+})
+
+describe('the token pool', () => {
+  const policy: tokenPool.PoolPolicy = { horizonSeconds: 10, aheadShare: 0.5, idleShare: 0.2 }
+
+  it('reserves the worst case and frees what was not spent', () => {
+    const pool = new tokenPool.TokenPool()
+    pool.add('depot', 100)
+    expect(pool.reserve('depot', 80)).to.equal(true)
+    expect(pool.reserve('depot', 30)).to.equal(false)
+    pool.settle('depot', 80, 15, 1)
+    expect(pool.free('depot')).to.equal(85)
+  })
+
+  it('gives away no more than is free', () => {
+    const pool = new tokenPool.TokenPool()
+    pool.add('depot', 100)
+    pool.reserve('depot', 70)
+    expect(pool.take('depot', 50)).to.equal(30)
+    expect(pool.free('depot')).to.equal(0)
+  })
+
+  const targets: Array<{ name: string, spent: number, remaining: number, routers: number, expected: [number, number] }> = [
+    { name: 'holds a small share before the first request', spent: 0, remaining: 1000, routers: 5, expected: [20, 20] },
+    { name: 'covers the horizon at the rate of spending', spent: 20, remaining: 10_000, routers: 5, expected: [200, 200] },
+    { name: 'holds no more than its even share', spent: 1000, remaining: 1000, routers: 5, expected: [100, 100] },
+    { name: 'holds nothing where nothing is left', spent: 1000, remaining: 0, routers: 5, expected: [0, 0] }
+  ]
+  for (const { name, spent, remaining, routers, expected } of targets) {
+    it(name, () => {
+      const pool = new tokenPool.TokenPool()
+      pool.add('depot', spent)
+      pool.reserve('depot', spent)
+      pool.settle('depot', spent, spent, 1)
+      expect(pool.target('depot', remaining, routers, policy, 1)).to.be.within(...expected)
+    })
+  }
+
+  const corrections: Array<[number, number, number]> = [[100, 100, 0], [80, 100, 0], [60, 100, 40], [140, 100, 0], [200, 100, -100]]
+  for (const [free, target, expected] of corrections) {
+    it(`changes ${free} tokens by ${expected} for a target of ${target}`, () => {
+      const pool = new tokenPool.TokenPool()
+      pool.add('depot', free)
+      expect(pool.correction('depot', target)).to.equal(expected)
+    })
+  }
+})
