Hold ten seconds of spending at hand; give up a silent resumable stream sooner

The share that the outage tests asked for was a guess; they now ask that all that was drawn is used.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -279,6 +279,7 @@
 
   #createTokenTask (): tokenTasks.TokenTask {
     return new tokenTasks.TokenTask(this.#pool, {
+      policy: tokenTasks.POOL_POLICY,
       pages: this.#pages,
       clock: this.#clock,
       logger: this.#logger,
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -22,6 +22,12 @@
 /** Share of the remaining time that one send of a repeatable request may take while another target could be asked. */
 const FIRST_SEND_SHARE = 0.5
 
+/** Silence after which a stream that may be resumed moves to another target: at least this, in milliseconds … */
+const LEAST_STREAM_SILENCE_MS = 1200
+
+/** … and at least this many times the route's latency objective. Callers give up after four. */
+const STREAM_SILENCE_OBJECTIVES = 3
+
 /** What serving a call needs. */
 export interface RequestFlowOptions {
   clock: decisions.clock.Clock
@@ -99,7 +105,8 @@
   #settle (call: calls.Call, reservation: number): void {
     const mayHaveRun = call.sends.some((send) => send.result !== 'not-run')
     const perEvent = this.#options.service(call.service)?.engine?.tokensPerEvent ?? 1
-    const spent = mayHaveRun ? (call.request.promptTokens ?? 0) + call.events * perEvent : 0
+    const output = Math.min(call.events * perEvent, call.request.maximumOutputTokens ?? Infinity)
+    const spent = mayHaveRun ? (call.request.promptTokens ?? 0) + output : 0
     this.#options.tokens.settle(call.account?.name ?? '', reservation, spent)
   }
 
@@ -198,9 +205,12 @@
     }
   }
 
+  /** Longest silence of a target. It is shorter where another target may take over. */
   #sendTimeout (call: calls.Call, remainingMs: number): number {
-    const mayMove = call.route.repetition === Repetition.repeatable && !call.route.streaming && call.sends.length === 0
-    return Math.max(1, mayMove ? remainingMs * FIRST_SEND_SHARE : remainingMs)
+    const mayMove = call.route.repetition === Repetition.repeatable && call.sends.length + 1 < call.route.maximumTargets
+    if (!mayMove) return Math.max(1, remainingMs)
+    const patienceMs = call.route.streaming ? Math.max(LEAST_STREAM_SILENCE_MS, call.route.objectiveMs * STREAM_SILENCE_OBJECTIVES) : Infinity
+    return Math.max(1, Math.min(remainingMs * FIRST_SEND_SHARE, patienceMs))
   }
 
   /** Connections to one target of a service that this gateway may use. */
--- a/packages/gateway/src/token-task.ts
+++ b/packages/gateway/src/token-task.ts
@@ -31,7 +31,7 @@
 const PAGE_WAIT_MS = 60
 
 /** Covers the longest outages of the store seen so far, and leaves a part of each budget to draw on after a crash of all. */
-const POOL_POLICY: decisions.tokenPool.PoolPolicy = { horizonSeconds: 12, aheadShare: 0.7, idleShare: 0.45 }
+export const POOL_POLICY: decisions.tokenPool.PoolPolicy = { horizonSeconds: 10, aheadShare: 0.9, idleShare: 0.35 }
 
 /** Another gateway that holds free tokens. */
 export interface TokenHolder {
@@ -42,6 +42,7 @@
 /** What keeping tokens needs. */
 export interface TokenTaskOptions {
   pages: pages.TokenPages
+  policy: decisions.tokenPool.PoolPolicy
   clock: decisions.clock.Clock
   logger: runtime.logging.Logger
   totals: () => pages.PrepaidTotals | undefined
@@ -130,7 +131,7 @@
     const gateways = this.#options.gateways()
     const changes = new Map<string, number>()
     for (const [account, total] of Object.entries(totals.totals)) {
-      const target = this.#pool.target(account, this.#options.pages.remaining(account), gateways, POOL_POLICY, this.#seconds())
+      const target = this.#pool.target(account, this.#options.pages.remaining(account), gateways, this.#options.policy, this.#seconds())
       const wanted = this.#pool.correction(account, target)
       if (Math.abs(wanted) < total * SMALLEST_CHANGE_SHARE) continue
       if (wanted > 0) changes.set(account, wanted)
@@ -163,7 +164,7 @@
     const now = this.#options.clock.now()
     if (this.#options.pages.isPaused() || now - this.#drawnAt < this.#options.gateways() * DRAW_INTERVAL_PER_GATEWAY_MS) return
     this.#drawnAt = now
-    const target = this.#pool.target(account, this.#options.pages.remaining(account), this.#options.gateways(), POOL_POLICY, this.#seconds())
+    const target = this.#pool.target(account, this.#options.pages.remaining(account), this.#options.gateways(), this.#options.policy, this.#seconds())
     const drawn = this.#options.pages.ask(new Map([[account, Math.max(tokens - this.#pool.free(account), target)]]))
     await Promise.race([drawn, this.#options.clock.sleep(PAGE_WAIT_MS)])
   }
--- a/packages/gateway/test/budgets.test.ts
+++ b/packages/gateway/test/budgets.test.ts
@@ -7,6 +7,9 @@
 
 const ACCOUNT = { name: 'depot', key: 'key-depot', prepaid: 20_000 }
 
+/** Worst case of one request of these tests. */
+const REQUEST_TOKENS = 200
+
 /** Sends model requests to all gateways in turn and returns how many were served. */
 async function spend (fleet: fleets.TestFleet, requests: number, gateways = fleet.settings.length): Promise<number> {
   let served = 0
@@ -23,22 +26,25 @@
   beforeEach(async () => { fleet = await fleets.TestFleet.start({ gateways: 3, engines: 2, accounts: [ACCOUNT], engine: { events: 4, eventIntervalMs: 1 } }) })
   afterEach(() => { fleet.stop() })
 
-  const outages: Array<{ name: string, fault: standIns.publishedStore.StoreFault, leastShare: number }> = [
-    { name: 'with the store at hand', fault: StoreFault.none, leastShare: 0.97 },
-    { name: 'while the store turns calls away', fault: StoreFault.busy, leastShare: 0.3 },
-    { name: 'while the store is silent', fault: StoreFault.silent, leastShare: 0.3 },
-    { name: 'while the store resets connections', fault: StoreFault.reset, leastShare: 0.3 },
-    { name: 'while the store loses answers', fault: StoreFault.loseAnswers, leastShare: 0.25 }
+  it('are used to the last request with the store at hand', async () => {
+    await spend(fleet, 160)
+    expect(fleet.served(ACCOUNT.name)).to.be.within(ACCOUNT.prepaid - REQUEST_TOKENS, ACCOUNT.prepaid)
+  })
+
+  const outages: Array<{ name: string, fault: standIns.publishedStore.StoreFault }> = [
+    { name: 'turns calls away', fault: StoreFault.busy },
+    { name: 'is silent', fault: StoreFault.silent },
+    { name: 'resets connections', fault: StoreFault.reset },
+    { name: 'loses answers', fault: StoreFault.loseAnswers }
   ]
-  for (const { name, fault, leastShare } of outages) {
-    it(`are never overspent and are used ${name}`, async () => {
+  for (const { name, fault } of outages) {
+    it(`are never overspent while the store ${name}, and all that was drawn is used`, async () => {
       await spend(fleet, 10)
       await new Promise<void>((resolve) => { setTimeout(resolve, 1200) })
+      const drawn = (fleet.store.read('acaciaweir-token-pages', 'prepaid') as { drawn: Record<string, number> }).drawn.depot
       fleet.store.fault = fault
       await spend(fleet, 150)
-      const served = fleet.served(ACCOUNT.name)
-      expect(served).to.be.at.most(ACCOUNT.prepaid)
-      expect(served).to.be.at.least(ACCOUNT.prepaid * leastShare)
+      expect(fleet.served(ACCOUNT.name)).to.be.within(drawn - REQUEST_TOKENS, ACCOUNT.prepaid)
     })
   }
 
--- a/packages/gateway/test/token-pages.test.ts
+++ b/packages/gateway/test/token-pages.test.ts
@@ -1,75 +1,15 @@
 import type * as decisions from '@acaciaweir/decisions'
-import * as platform from '@acaciaweir/platform'
 import * as runtime from '@acaciaweir/runtime'
 import * as chai from 'chai'
 import * as fastCheck from 'fast-check'
+import * as stores from './one-page-store.js'
 import * as tokenPages from '../src/token-pages.js'
 
 const { expect } = chai
 
-type Outcome<Result> = platform.objectStore.StoreOutcome<Result>
-type StoreObject = platform.objectStore.StoreObject
-
-/** What the store does with one write. */
-const Fate = { done: 'done', refused: 'refused', lost: 'lost', lostUndone: 'lost-undone', late: 'late' } as const
-type Fate = typeof Fate[keyof typeof Fate]
-
-/** One page, with writes that may be refused, lost, or done late. */
-class OnePageStore extends platform.objectStore.ObjectStore {
-  page: StoreObject | undefined
-  readonly #fates: Fate[]
-  readonly #late: Array<() => void> = []
-  #revision = 0
-
-  constructor (fates: Fate[]) {
-    super()
-    this.#fates = fates
-  }
-
-  override async read (): Promise<Outcome<StoreObject>> {
-    return this.page === undefined ? { status: 'missing', step: 'read', reason: '' } : { status: 'done', result: this.page }
-  }
-
-  override async create (_kind: string, name: string, value: unknown): Promise<Outcome<StoreObject>> {
-    return this.#write(() => this.page === undefined, name, value)
-  }
-
-  override async replace (_kind: string, name: string, value: unknown, revision: number): Promise<Outcome<StoreObject>> {
-    return this.#write(() => this.page?.revision === revision, name, value)
-  }
-
-  override async list (): Promise<never> { throw new Error('not used') }
-  override async watch (): Promise<never> { throw new Error('not used') }
-  override async remove (): Promise<never> { throw new Error('not used') }
-
-  #write (holds: () => boolean, name: string, value: unknown): Outcome<StoreObject> {
-    const fate = this.#fates.shift() ?? Fate.done
-    const apply = (): boolean => {
-      if (!holds()) return false
-      this.#revision += 1
-      this.page = { name, revision: this.#revision, value }
-      return true
-    }
-    if (fate === Fate.refused) return { status: 'refused', step: 'write', reason: '' }
-    for (const late of this.#late.splice(0)) late()
-    if (fate === Fate.late) this.#late.push(apply)
-    if (fate === Fate.lost) apply()
-    if (fate !== Fate.done) return { status: 'unknown', step: 'write', reason: '' }
-    if (apply()) return { status: 'done', result: this.page as StoreObject }
-    return { status: 'conflict', step: 'write', reason: '', present: this.page }
-  }
-}
-
-class StepClock {
-  time = 0
-  now (): number { return this.time }
-  wallNow (): number { return this.time }
-  async sleep (): Promise<void> {}
-}
-
 const TOTAL = 1000
 
-function createPages (store: OnePageStore, clock: StepClock, incarnation: string, held: { tokens: number }): tokenPages.TokenPages {
+function createPages (store: stores.OnePageStore, clock: stores.StepClock, incarnation: string, held: { tokens: number }): tokenPages.TokenPages {
   return new tokenPages.TokenPages({
     incarnation,
     store,
@@ -82,7 +22,7 @@
 }
 
 describe('drawing from the token page', () => {
-  const cases: Array<{ name: string, fates: Fate[], changes: number[], held: number, drawn: number }> = [
+  const cases: Array<{ name: string, fates: stores.Fate[], changes: number[], held: number, drawn: number }> = [
     { name: 'draws and returns', fates: [], changes: [300, -100], held: 200, drawn: 200 },
     { name: 'holds nothing of a refused draw', fates: ['refused'], changes: [300], held: 0, drawn: 0 },
     { name: 'finds a draw whose answer was lost', fates: ['lost'], changes: [300, 50], held: 350, drawn: 350 },
@@ -93,8 +33,8 @@
   ]
   for (const { name, fates, changes, held, drawn } of cases) {
     it(name, async () => {
-      const store = new OnePageStore([...fates])
-      const clock = new StepClock()
+      const store = new stores.OnePageStore([...fates])
+      const clock = new stores.StepClock()
       const own = { tokens: 0 }
       const pages = createPages(store, clock, 'gateway-1', own)
       for (const tokens of changes) {
@@ -108,11 +48,11 @@
   }
 
   it('never lets routers hold more together than the page says, whichever answers are lost or late', async () => {
-    const fate = fastCheck.constantFrom<Fate>('done', 'done', 'refused', 'lost', 'lost-undone', 'late')
+    const fate = fastCheck.constantFrom<stores.Fate>('done', 'done', 'refused', 'lost', 'lost-undone', 'late')
     const step = fastCheck.record({ router: fastCheck.nat(2), tokens: fastCheck.integer({ min: -200, max: 400 }) })
     await fastCheck.assert(fastCheck.asyncProperty(fastCheck.array(fate, { maxLength: 40 }), fastCheck.array(step, { maxLength: 40 }), async (fates, steps) => {
-      const store = new OnePageStore([...fates])
-      const clock = new StepClock()
+      const store = new stores.OnePageStore([...fates])
+      const clock = new stores.StepClock()
       const held = [{ tokens: 0 }, { tokens: 0 }, { tokens: 0 }]
       const pages = held.map((own, index) => createPages(store, clock, `gateway-${index}`, own))
       for (const { router, tokens } of steps) {
