Ask all gateways for tokens before a budget counts as used up

Cause: the last tokens of a budget lie at several gateways, and heartbeats tell of them up to 300 ms late; the test 'used to the last request' left 406 of 20000 unserved, and fails without the question to all.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -286,8 +286,7 @@
       totals: () => this.#totals(),
       gateways: () => this.#gateways(),
       holders: (account) => this.#peers.live(this.#clock.now())
-        .map((heartbeat) => ({ peerAddress: heartbeat.sender.peerAddress, freeTokens: heartbeat.freeTokens[account] ?? 0 }))
-        .filter((holder) => holder.freeTokens > 0),
+        .map((heartbeat) => ({ peerAddress: heartbeat.sender.peerAddress, freeTokens: heartbeat.freeTokens[account] ?? 0 })),
       transfer: async (peerAddress, account, tokens) => await this.#peerTask.transfer(peerAddress, account, tokens)
     })
   }
--- a/packages/gateway/src/token-task.ts
+++ b/packages/gateway/src/token-task.ts
@@ -30,6 +30,9 @@
 /** Longest time that a request waits for the page, in milliseconds. The store answers in a few; a request must not wait out its outage. */
 const PAGE_WAIT_MS = 60
 
+/** Time after all other gateways were asked in vain in which they are not asked again for the account, in milliseconds. */
+const ASK_ALL_INTERVAL_MS = 300
+
 /** Covers the longest outages of the store seen so far, and leaves a part of each budget to draw on after a crash of all. */
 export const POOL_POLICY: decisions.tokenPool.PoolPolicy = { horizonSeconds: 10, aheadShare: 0.9, idleShare: 0.35 }
 
@@ -48,7 +51,7 @@
   totals: () => pages.PrepaidTotals | undefined
   /** Live gateways, this one included. */
   gateways: () => number
-  /** Other gateways with free tokens of an account, as last heard. */
+  /** The other gateways, with their free tokens of an account as last heard. */
   holders: (account: string) => TokenHolder[]
   /** Asks another gateway for tokens. Returns 0 where it does not answer. */
   transfer: (peerAddress: string, account: string, tokens: number) => Promise<number>
@@ -60,6 +63,7 @@
   readonly #pool: decisions.tokenPool.TokenPool
   readonly #stop = new AbortController()
   readonly #replenishing = new Map<string, Promise<void>>()
+  readonly #askedAllAt = new Map<string, number>()
   #drawnAt = -Infinity
   #closing = false
 
@@ -95,7 +99,7 @@
   async reserve (account: string, tokens: number): Promise<ReserveOutcome> {
     for (let attempt = 0; attempt < MOST_TRIES; attempt++) {
       if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
-      if (this.#isUsedUp(account, tokens)) return ReserveOutcome.exhausted
+      if (this.#isUsedUp(account, tokens) && !this.#mayAskAll(account)) return ReserveOutcome.exhausted
       await this.#replenishOnce(account, tokens)
     }
     if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
@@ -169,10 +173,11 @@
     await Promise.race([drawn, this.#options.clock.sleep(PAGE_WAIT_MS)])
   }
 
-  /** Asks the gateways that hold most until enough has come. */
+  /** Asks the gateways that hold most until enough has come, and then, now and then, those that held nothing when last heard. */
   async #collect (account: string, lacking: number): Promise<boolean> {
     let rest = lacking
-    const holders = this.#options.holders(account).sort((left, right) => right.freeTokens - left.freeTokens)
+    const all = this.#options.holders(account)
+    const holders = all.filter((holder) => holder.freeTokens > 0).sort((left, right) => right.freeTokens - left.freeTokens)
     for (const holder of holders) {
       if (rest <= 0) return true
       const wanted = Math.min(rest * TRANSFER_FACTOR, Math.max(rest, Math.floor(holder.freeTokens / 2)))
@@ -180,7 +185,16 @@
       this.#pool.add(account, received)
       rest -= received
     }
-    return rest <= 0
+    if (rest <= 0) return true
+    if (!this.#mayAskAll(account)) return false
+    this.#askedAllAt.set(account, this.#options.clock.now())
+    const received = await Promise.all(all.map(async (holder) => await this.#options.transfer(holder.peerAddress, account, rest)))
+    for (const tokens of received) this.#pool.add(account, tokens)
+    return received.reduce((sum, tokens) => sum + tokens, 0) >= rest
+  }
+
+  #mayAskAll (account: string): boolean {
+    return this.#options.clock.now() - (this.#askedAllAt.get(account) ?? -Infinity) >= ASK_ALL_INTERVAL_MS
   }
 
   /** Whether a fresh page and the other gateways together prove that the request does not fit. */
--- a/packages/gateway/test/budget-load.test.ts
+++ b/packages/gateway/test/budget-load.test.ts
@@ -99,8 +99,8 @@
       totals,
       gateways: () => GATEWAYS,
       holders: (account) => this.#holders
-        .map((holder, position) => ({ peerAddress: String(position), freeTokens: position === index ? 0 : holder.pool.free(account) }))
-        .filter((holder) => holder.freeTokens > 0),
+        .map((holder, position) => ({ peerAddress: String(position), freeTokens: holder.pool.free(account) }))
+        .filter((_holder, position) => position !== index),
       transfer: async (peerAddress, account, tokens) => this.#holders[Number(peerAddress)].task.giveAway(account, tokens)
     })
     return { pool, task }
--- a/packages/gateway/test/budgets.test.ts
+++ b/packages/gateway/test/budgets.test.ts
@@ -28,6 +28,10 @@
 
   it('are used to the last request with the store at hand', async () => {
     await spend(fleet, 160)
+    for (let count = 0; count < 4; count++) {
+      await new Promise<void>((resolve) => { setTimeout(resolve, 350) })
+      await spend(fleet, 10)
+    }
     expect(fleet.served(ACCOUNT.name)).to.be.within(ACCOUNT.prepaid - REQUEST_TOKENS, ACCOUNT.prepaid)
   })
 
