--- a/packages/decisions/src/retry-allowance.ts
+++ b/packages/decisions/src/retry-allowance.ts
@@ -20,13 +20,18 @@
  * its share of the slack. Answers overload and failing targets, where unbounded retries multiply the load.
  */
 export class RetryAllowance {
-  readonly #budget: RetryBudget
+  #budget: RetryBudget
   readonly #services = new Map<string, WindowCount>()
 
   constructor (budget: RetryBudget) {
     this.#budget = budget
   }
 
+  /** Takes changed bounds. */
+  use (budget: RetryBudget): void {
+    this.#budget = budget
+  }
+
   /** Notes a caller's request for a service. */
   noteRequest (service: string, now: number): void {
     this.#count(service).requests.push(now)
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -2,7 +2,6 @@
 import * as adapter from '@acaciaweir/platform-adapter'
 import * as runtime from '@acaciaweir/runtime'
 import * as http from 'node:http'
-import type * as net from 'node:net'
 import * as answers from './answers.js'
 import type * as calls from './call.js'
 import type * as logs from './decision-log.js'
@@ -12,6 +11,9 @@
 /** Largest header block taken before the agreement says more, in bytes. */
 const HEADER_BYTES = 65_536
 
+/** Interval at which slow headers and bodies are noticed, in milliseconds. */
+const TIMEOUT_CHECK_MS = 1000
+
 /** Time before the caller's deadline at which the gateway gives its final answer, in milliseconds. */
 const ANSWER_MARGIN_MS = 30
 
@@ -38,15 +40,13 @@
 export class CallerServer {
   readonly #options: CallerServerOptions
   readonly #server: http.Server
-  readonly #idle = new Set<net.Socket>()
   #inProgress = 0
   #leaving = false
 
   constructor (options: CallerServerOptions) {
     this.#options = options
-    this.#server = http.createServer({ maxHeaderSize: HEADER_BYTES, noDelay: true }, (message, response) => { void this.#handle(message, response) })
-    this.#server.requestTimeout = 0
-    this.#server.on('connection', (socket) => { this.#track(socket) })
+    const serverOptions = { maxHeaderSize: HEADER_BYTES, noDelay: true, connectionsCheckingInterval: TIMEOUT_CHECK_MS }
+    this.#server = http.createServer(serverOptions, (message, response) => { void this.#handle(message, response) })
   }
 
   get inProgress (): number {
@@ -64,6 +64,7 @@
   useLimits (limits: decisions.agreementTypes.CallerLimits): void {
     this.#server.keepAliveTimeout = limits.idleTimeoutMs
     this.#server.headersTimeout = limits.headerTimeoutMs
+    this.#server.requestTimeout = limits.headerTimeoutMs + limits.idleTimeoutMs
   }
 
   /** Asks callers to connect elsewhere from now on; requests that still come are served. */
@@ -86,11 +87,6 @@
     this.#server.closeAllConnections()
   }
 
-  #track (socket: net.Socket): void {
-    this.#idle.add(socket)
-    socket.on('close', () => { this.#idle.delete(socket) })
-  }
-
   async #handle (message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     this.#inProgress += 1
     const arrivedAt = this.#options.clock.now()
@@ -163,6 +159,7 @@
 
   #admit (message: http.IncomingMessage, table: decisions.routeTable.RouteTable | undefined, arrivedAt: number): AdmittedHead | calls.Refusal {
     if (table === undefined) return { status: 503, reason: 'no agreement is known yet', retryAfterMs: NOT_READY_RETRY_AFTER_MS }
+    if (headerBytes(message) > table.agreement.limits.headerBytes) return { status: 431, reason: 'the headers are too large' }
     let request: adapter.callerRequest.CallerRequest
     try {
       request = adapter.callerRequest.decodeCallerRequest(message)
@@ -234,6 +231,11 @@
   version: number
 }
 
+/** Size of the headers on the wire, with separators and line ends. */
+function headerBytes (message: http.IncomingMessage): number {
+  return message.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
+}
+
 /** Reads a body; undefined where it is larger than the limit. Rejects where the caller breaks off. */
 async function readBody (message: http.IncomingMessage, limitBytes: number): Promise<Buffer | undefined> {
   const chunks: Buffer[] = []
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -55,7 +55,7 @@
 
 /** A gateway: serves callers at one host, in a fleet of equals. */
 export class Gateway {
-  readonly #fleet: adapter.settingsFile.FleetSettings
+  #fleet: adapter.settingsFile.FleetSettings
   readonly #options: GatewayOptions
   readonly #logger: runtime.logging.Logger
   readonly #clock = new runtime.systemClock.SystemClock()
@@ -63,6 +63,7 @@
   readonly #store: platform.objectStore.ObjectStore
   readonly #board = new decisions.targetBoard.TargetBoard()
   readonly #pool = new decisions.tokenPool.TokenPool()
+  readonly #allowance: decisions.retryAllowance.RetryAllowance
   readonly #connections = new targetConnections.TargetConnections()
   readonly #peers: peerTables.PeerTable
   readonly #configuration: configurations.ConfigurationWatch
@@ -85,6 +86,7 @@
     this.#logger = options.log.logger.child({ incarnation: this.#incarnation })
     this.#store = new adapter.storeClient.StoreClient({ address: options.fleet.storeAddress, timeoutMs: STORE_TIMEOUT_MS, logger: this.#logger })
     this.#peers = new peerTables.PeerTable(options.fleet.peerListen)
+    this.#allowance = new decisions.retryAllowance.RetryAllowance(options.fleet.retryBudget)
     this.#load = new loads.LoadMeter(this.#clock, options.fleet.processorShare)
     const pauseMs = (): number => this.#hasWatchDuty() ? 0 : DUTY_CHECK_MS
     const shared = { store: this.#store, clock: this.#clock, logger: this.#logger, pauseMs }
@@ -127,6 +129,15 @@
     this.#logger.info({ event: 'started', callers: this.#fleet.callerListen, peers: this.#fleet.peerListen, seeds: this.#fleet.seedPeers })
   }
 
+  /** Takes changed settings. Where this gateway listens and which store it uses stays until its next start. */
+  useSettings (fleet: adapter.settingsFile.FleetSettings): void {
+    const { retryBudget, graceMs, seedPeers } = fleet
+    this.#fleet = { ...this.#fleet, retryBudget, graceMs, seedPeers }
+    this.#allowance.use(retryBudget)
+    for (const seed of seedPeers) this.#peers.add(seed, this.#clock.now())
+    this.#logger.info({ event: 'reloaded', retryBudget, graceMs, seedPeers })
+  }
+
   /** Takes no new work, ends all requests in progress, hands tokens back and ends. */
   async shutDown (): Promise<void> {
     const startedAt = this.#clock.now()
@@ -327,7 +338,7 @@
       board: this.#board,
       connections: this.#connections,
       tokens: this.#tokens,
-      allowance: new decisions.retryAllowance.RetryAllowance(this.#fleet.retryBudget),
+      allowance: this.#allowance,
       availabilityZone: this.#fleet.availabilityZone,
       service: (name) => this.#configuration.table?.service(name),
       gateways: () => this.#gateways(),
--- a/packages/gateway/src/main.ts
+++ b/packages/gateway/src/main.ts
@@ -1,6 +1,7 @@
 import * as adapter from '@acaciaweir/platform-adapter'
 import * as runtime from '@acaciaweir/runtime'
 import * as commander from 'commander'
+import * as fs from 'node:fs'
 import * as gateways from './gateway.js'
 import * as settings from './settings.js'
 
@@ -10,6 +11,9 @@
 /** Exit code of a second signal, which stops at once. */
 const STOPPED_AT_ONCE_EXIT_CODE = 130
 
+/** Interval at which a change of the settings file without a signal is noticed, in milliseconds. */
+const SETTINGS_CHECK_MS = 2000
+
 const own = readOrExit(() => settings.readSettings(process.argv.slice(2)))
 await run(own, readOrExit(() => adapter.settingsFile.readSettingsFile(own.settingsFile)))
 
@@ -44,15 +48,16 @@
   }
   process.on('SIGTERM', onEnd)
   process.on('SIGINT', onEnd)
-  process.on('SIGHUP', () => { reload(log.logger, checked.settingsFile) })
+  const onChange = (): void => { reload(gateway, log.logger, checked.settingsFile) }
+  process.on('SIGHUP', onChange)
+  fs.watchFile(checked.settingsFile, { interval: SETTINGS_CHECK_MS }, onChange)
   await gateway.start()
 }
 
-/** Checks the changed settings file. Addresses and limits of a running process stay; the next start takes the new ones. */
-function reload (logger: runtime.logging.Logger, path: string): void {
+/** Takes a changed settings file; a bad one changes nothing. */
+function reload (gateway: gateways.Gateway, logger: runtime.logging.Logger, path: string): void {
   try {
-    adapter.settingsFile.readSettingsFile(path)
-    logger.info({ event: 'reloaded', path })
+    gateway.useSettings(adapter.settingsFile.readSettingsFile(path))
   } catch (error) {
     logger.error({ event: 'reload-refused', path, reason: (error as Error).message })
   }
--- a/packages/gateway/src/target-watch.ts
+++ b/packages/gateway/src/target-watch.ts
@@ -10,6 +10,8 @@
 export class TargetWatch extends watches.ObjectWatch {
   readonly #board: decisions.targetBoard.TargetBoard
   readonly #clock: decisions.clock.Clock
+  /** Revision of each target's entry. */
+  readonly #putAt = new Map<string, number>()
   #changeRevision = 0
 
   constructor (options: Omit<watches.ObjectWatchOptions, 'kind'>, board: decisions.targetBoard.TargetBoard) {
@@ -66,23 +68,18 @@
   #remove (id: string, revision: number): void {
     if (this.#board.get(id) === undefined) return
     this.logger.info({ event: 'target-gone', target: id, revision })
+    this.#putAt.delete(id)
     this.#board.remove(id)
   }
 
+  /** Removes entries that lapsed during an outage and did not come back after it. */
   async #removeLater (ids: string[], revision: number): Promise<void> {
     await this.#clock.sleep(LAPSED_ENTRY_GRACE_MS)
-    const listed = new Set(this.#seenSince(revision))
     for (const id of ids) {
-      if (!listed.has(id)) this.#remove(id, this.revision)
+      if ((this.#putAt.get(id) ?? 0) <= revision) this.#remove(id, revision)
     }
   }
 
-  readonly #putAt = new Map<string, number>()
-
-  #seenSince (revision: number): string[] {
-    return [...this.#putAt].filter(([, at]) => at > revision).map(([id]) => id)
-  }
-
   #decode (object: platform.objectStore.StoreObject): decisions.agreementTypes.TargetEntry | undefined {
     const entry = adapter.targetEntries.decodeTarget(object)
     if (entry === undefined) this.logger.warn({ event: 'target-entry-skipped', target: object.name, revision: object.revision })
--- a/packages/gateway/test/serving.test.ts
+++ b/packages/gateway/test/serving.test.ts
@@ -36,6 +36,7 @@
     { name: 'a bad prompt prefix', path: '/plan/day', headers: { 'token-counts': '12,1', 'prompt-prefix': 'zz' }, status: 400 },
     { name: 'a bad deadline', path: '/order/1', headers: { 'deadline-remaining-ms': 'soon' }, status: 400 },
     { name: 'a deadline that has passed', path: '/order/1', headers: { 'deadline-remaining-ms': '5' }, status: 503 },
+    { name: 'headers over the limit', path: '/order/1', headers: { filler: 'x'.repeat(17_000) }, status: 431 },
     { name: 'a body over the limit', path: '/order/1', headers: {}, body: 'x'.repeat(70_000), status: 413 }
   ]
   for (const { name, path, headers, body, status } of refused) {
