--- a/packages/gateway/test/budgets.test.ts
+++ b/packages/gateway/test/budgets.test.ts
@@ -32,7 +32,7 @@
       await new Promise<void>((resolve) => { setTimeout(resolve, 350) })
       await spend(fleet, 10)
     }
-    expect(fleet.served(ACCOUNT.name)).to.be.within(ACCOUNT.prepaid - REQUEST_TOKENS, ACCOUNT.prepaid)
+    expect(fleet.platform.served(ACCOUNT.name)).to.be.within(ACCOUNT.prepaid - REQUEST_TOKENS, ACCOUNT.prepaid)
   })
 
   const outages: Array<{ name: string, fault: standIns.publishedStore.StoreFault }> = [
@@ -48,7 +48,7 @@
       const drawn = (fleet.store.read('acaciaweir-token-pages', 'prepaid') as { drawn: Record<string, number> }).drawn.depot
       fleet.store.fault = fault
       await spend(fleet, 150)
-      expect(fleet.served(ACCOUNT.name)).to.be.within(drawn - REQUEST_TOKENS, ACCOUNT.prepaid)
+      expect(fleet.platform.served(ACCOUNT.name)).to.be.within(drawn - REQUEST_TOKENS, ACCOUNT.prepaid)
     })
   }
 
@@ -58,18 +58,18 @@
     for (const settings of fleet.settings) await fleet.startGateway(settings)
     for (let index = 0; index < 3; index++) await fleet.ready(index)
     await spend(fleet, 150)
-    expect(fleet.served(ACCOUNT.name)).to.be.within(ACCOUNT.prepaid * 0.25, ACCOUNT.prepaid)
+    expect(fleet.platform.served(ACCOUNT.name)).to.be.within(ACCOUNT.prepaid * 0.25, ACCOUNT.prepaid)
   })
 
   it('take a raised total at once, and hold to a lowered one', async () => {
     await spend(fleet, 150)
-    fleet.accounts = [{ ...ACCOUNT, prepaid: 30_000 }]
-    fleet.configure()
+    fleet.platform.accounts = [{ ...ACCOUNT, prepaid: 30_000 }]
+    fleet.platform.configure()
     await fleets.eventually(async () => (await fleet.callModel(0, '/plan/1', 190, 10)).status === 200)
     await spend(fleet, 100)
-    expect(fleet.served(ACCOUNT.name)).to.be.within(29_000, 30_000)
-    fleet.accounts = [{ ...ACCOUNT, prepaid: 10_000 }]
-    fleet.configure()
+    expect(fleet.platform.served(ACCOUNT.name)).to.be.within(29_000, 30_000)
+    fleet.platform.accounts = [{ ...ACCOUNT, prepaid: 10_000 }]
+    fleet.platform.configure()
     expect((await fleet.callModel(1, '/plan/1', 190, 10)).status).to.be.oneOf([402, 503])
   })
 
@@ -80,13 +80,13 @@
     void fleet.gateways[2].shutDown()
     await fleets.eventually(() => drawn() < before)
     await spend(fleet, 150, 2)
-    expect(fleet.served(ACCOUNT.name)).to.be.within(ACCOUNT.prepaid * 0.95, ACCOUNT.prepaid)
+    expect(fleet.platform.served(ACCOUNT.name)).to.be.within(ACCOUNT.prepaid * 0.95, ACCOUNT.prepaid)
   })
 
   it('leave a page that cannot be read as it is, and refuse', async () => {
     fleet.store.put('acaciaweir-token-pages', 'prepaid', { spoilt: true })
     await spend(fleet, 150)
-    expect(fleet.served(ACCOUNT.name)).to.be.at.most(ACCOUNT.prepaid)
+    expect(fleet.platform.served(ACCOUNT.name)).to.be.at.most(ACCOUNT.prepaid)
     expect(fleet.store.read('acaciaweir-token-pages', 'prepaid')).to.deep.equal({ spoilt: true })
   })
 })
--- a/packages/gateway/test/serving.test.ts
+++ b/packages/gateway/test/serving.test.ts
@@ -101,7 +101,7 @@
   })
 
   it('gives its final answer when the route\'s time is over', async () => {
-    fleet.configure({ timeoutMs: 400 })
+    fleet.platform.configure({ timeoutMs: 400 })
     await fleets.eventually(async () => (await fleet.call(0, '/stock/1')).status === 200)
     for (const target of fleet.targets) target.fault = TargetFault.mute
     const startedAt = performance.now()
@@ -120,10 +120,10 @@
   })
 
   it('tells callers where to connect, until it is leaving', async () => {
-    const resolve = async (): Promise<string> => (await fleets.get(`http://${fleet.settings[0].directoryListen}/resolve?Name=${fleets.HOST}&Region=region&Zone=zone-a`)).body
+    const resolve = async (): Promise<string> => (await standIns.publishedCaller.get(`http://${fleet.settings[0].directoryListen}/resolve?Name=${standIns.publishedPlatform.HOST}&Region=region&Zone=zone-a`)).body
     expect(JSON.parse(await resolve())).to.deep.equal({ Addresses: [fleet.settings[0].callerListen], TtlS: 2 })
     void fleet.gateways[0].shutDown()
-    await fleets.eventually(async () => (await fleets.get(`http://${fleet.settings[0].readyListen}/ready`)).status === 503)
+    await fleets.eventually(async () => (await standIns.publishedCaller.get(`http://${fleet.settings[0].readyListen}/ready`)).status === 503)
     expect(JSON.parse(await resolve()).Addresses).to.deep.equal([])
   })
 })
