--- /dev/null
+++ b/packages/stand-ins/src/published-settings.ts
@@ -0,0 +1,41 @@
+/** Where a gateway of a test runs. */
+export interface PublishedHost {
+  name: string
+  callerPort: number
+  readyPort: number
+  peerPort: number
+  directoryPort: number
+  storeAddress: string
+  seedPeers: string[]
+}
+
+/** Text of the platform's settings file for one host on loopback. */
+export function settingsText (host: PublishedHost): string {
+  const address = (port: number): string => `"127.0.0.1:${port}"`
+  return [
+    `NodeName = "${host.name}"`,
+    'Ip = "127.0.0.1"',
+    'Zone = "zone-a"',
+    'Region = "region"',
+    `SeedNodes = [${host.seedPeers.map((peer) => `"${peer}"`).join(', ')}]`,
+    '[Zones]',
+    'zone-a = "region"',
+    '[ListenAddrs]',
+    `Front = ${address(host.callerPort)}`,
+    `Ready = ${address(host.readyPort)}`,
+    `Control = ${address(host.peerPort)}`,
+    `Directory = ${address(host.directoryPort)}`,
+    '[Limits]',
+    'CpuShare = 1.0',
+    'MemoryMb = 350',
+    'MaxFds = 4100',
+    '[Bounds]',
+    'GraceS = 8',
+    'RetryBudgetRatio = 0.2',
+    'RetrySlack = 56',
+    'BudgetWindowS = 10',
+    '[Platform]',
+    `Address = "${host.storeAddress}"`,
+    ''
+  ].join('\n')
+}
