--- a/packages/gateway/test/budget-load.test.ts
+++ b/packages/gateway/test/budget-load.test.ts
@@ -140,6 +140,16 @@
       expect(lost).to.be.within(0, TOTAL * 0.03 + 12 * REQUESTS_A_SECOND * TRUE_TOKENS)
     })
 
+    it('serves a quarter of an account near its end after all gateways died', async () => {
+      const replay = new BudgetReplay(gateways)
+      await replay.play(23, { factor: 1.3 })
+      await replay.play(8, { storeDown: true, factor: 1.3 })
+      await replay.play(3, { factor: 1.3 })
+      replay.restart()
+      const after = await replay.play(16, { factor: 1.3 })
+      expect(after.served / after.asked).to.be.at.least(0.25)
+    })
+
     it('follows an account that sends three times its usual', async () => {
       const replay = new BudgetReplay(gateways)
       await replay.play(10)
