--- a/packages/gateway/src/token-task.ts
+++ b/packages/gateway/src/token-task.ts
@@ -12,8 +12,8 @@
 /** Added to the interval for each gateway beyond ten, in milliseconds, so that writes of the page seldom meet. */
 const BALANCE_INTERVAL_PER_GATEWAY_MS = 40
 
-/** Least time between two draws for waiting requests, for each gateway, in milliseconds. */
-const DRAW_INTERVAL_PER_GATEWAY_MS = 10
+/** Time after a draw that was not enough in which waiting requests draw no more, for each gateway, in milliseconds. */
+const VAIN_DRAW_PAUSE_PER_GATEWAY_MS = 20
 
 /** Changes smaller than this share of an account's total are left for later. */
 const SMALLEST_CHANGE_SHARE = 0.002
@@ -105,7 +105,8 @@
   readonly #askedAllAt = new Map<string, number>()
   /** When the holders last said that an account's budget is used up. */
   readonly #usedUpAt = new Map<string, number>()
-  #drawnAt = -Infinity
+  /** When a draw for waiting requests last was not enough, by account. */
+  readonly #drawnInVainAt = new Map<string, number>()
   #closing = false
 
   constructor (pool: decisions.tokenPool.TokenPool, options: TokenTaskOptions) {
@@ -218,11 +219,12 @@
 
   /** Draws from the page so that the tokens fit, and up to the target. */
   async #draw (account: string, tokens: number): Promise<void> {
-    const now = this.#options.clock.now()
-    if (this.#options.pages.isPaused() || now - this.#drawnAt < this.#options.gateways() * DRAW_INTERVAL_PER_GATEWAY_MS) return
-    this.#drawnAt = now
+    const pauseMs = this.#options.gateways() * VAIN_DRAW_PAUSE_PER_GATEWAY_MS
+    const sinceVainMs = this.#options.clock.now() - (this.#drawnInVainAt.get(account) ?? -Infinity)
+    if (this.#options.pages.isPaused() || sinceVainMs < pauseMs) return
     const drawn = this.#options.pages.ask(new Map([[account, Math.max(tokens - this.#pool.free(account), this.#target(account))]]))
     await Promise.race([drawn, this.#options.clock.sleep(PAGE_WAIT_MS)])
+    if (this.#pool.free(account) < tokens) this.#drawnInVainAt.set(account, this.#options.clock.now())
   }
 
   /** Asks a few holders, one after the other. */
