Expect less of a copy from a target that only may hold the prefix

Cause: shared parts are still read again where a prefix was first read away from its usual target: the router took the usual target to hold it.

--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -25,6 +25,9 @@
 /** Share of a prefix that is expected in the cache of its usual target, though this router has not sent it there. */
 const USUAL_TARGET_SHARE = 0.9
 
+/** Share of a prefix that a copy from its usual target is expected to bring, where this router has not sent it there. */
+const ASSUMED_COPY_SHARE = 0.4
+
 /** Share of a cached prefix that it still costs to have it copied from another target. */
 const COPY_COST_SHARE = 0.25
 
@@ -52,10 +55,10 @@
   const usual = usualTarget(candidates, request)
   const cached = new Map(candidates.map((target) => [target, cachedTokens(board, target.entry.id, request, target.entry.id === usual, now)]))
   const holder = most(candidates, (target) => cached.get(target) ?? 0)
-  const copyable = holder === undefined ? 0 : cached.get(holder) ?? 0
+  const copyable = holder === undefined ? 0 : copyableTokens(board, holder, request, now)
   const target = most(candidates, (candidate) => -expectedDelay(candidate, request, cached.get(candidate) ?? 0, copyable))
   if (target === undefined) return undefined
-  const saved = copyable - (cached.get(target) ?? 0)
+  const saved = holder === undefined ? 0 : (cached.get(holder) ?? 0) - (cached.get(target) ?? 0)
   return { target, copyFrom: saved >= LEAST_COPIED_TOKENS && holder !== target ? holder : undefined }
 }
 
@@ -94,6 +97,13 @@
   return best
 }
 
+/** Prompt tokens that a copy from the target would save. */
+function copyableTokens (board: boards.TargetBoard, holder: boards.TargetState, request: PlacedRequest, now: number): number {
+  const known = cachedTokens(board, holder.entry.id, request, false, now)
+  const assumed = request.sharedParts.reduce((sum, part) => sum + part.tokens, 0) * ASSUMED_COPY_SHARE
+  return Math.max(known, assumed)
+}
+
 /** Prompt tokens that the target need not read again. A part counts only where all before it do. */
 function cachedTokens (board: boards.TargetBoard, id: string, request: PlacedRequest, isUsual: boolean, now: number): number {
   let sent = 0
