--- a/packages/decisions/src/token-pool.ts
+++ b/packages/decisions/src/token-pool.ts
@@ -2,15 +2,30 @@
 export interface PoolPolicy {
   /** Time of spending that the pool covers while the platform is away, in seconds. */
   horizonSeconds: number
-  /** Largest share of an account's remaining tokens that all routers hold together ahead of demand. */
+  /** Largest share of an account's unspent tokens that all routers hold together ahead of demand. */
   aheadShare: number
-  /** Share of that which a router holds of an account it has not served yet. */
+  /** Least share of an account's unspent tokens that all routers hold together. */
   idleShare: number
 }
 
+/** What a router knows of an account beyond its own pool. */
+export interface AccountOutlook {
+  /** Tokens that the page has left. */
+  remaining: number
+  /** Free tokens at the other routers. */
+  freeElsewhere: number
+  /** Tokens a second that the other routers spend. */
+  spendingElsewhere: number
+  /** Routers that hold tokens of the account, this one included. */
+  routers: number
+}
+
 /** Time constant of the spending rate's moving average, in seconds. */
 const RATE_WINDOW_SECONDS = 4
 
+/** Least time over which a new account's spending is averaged, in seconds. */
+const LEAST_SEEN_SECONDS = 1.5
+
 /** Pool over its target by this factor gives the excess back; below, small changes cause no write. */
 const RETURN_FACTOR = 1.5
 
@@ -22,6 +37,8 @@
   reserved: number
   tokensPerSecond: number
   rateAt: number
+  /** When the account first spent here. */
+  firstAt: number | undefined
 }
 
 /** Tokens of one account at a router. Unit: tokens. */
@@ -56,7 +73,7 @@
     pool.reserved -= reservedTokens
     pool.free += reservedTokens - spent
     decayRate(pool, nowSeconds)
-    pool.tokensPerSecond += spent / RATE_WINDOW_SECONDS
+    noteSpending(pool, spent, nowSeconds)
   }
 
   /** Adds tokens drawn from the page or received from another router. */
@@ -69,15 +86,13 @@
     const given = this.take(account, tokens)
     const pool = this.#pool(account)
     decayRate(pool, nowSeconds)
-    pool.tokensPerSecond += given / RATE_WINDOW_SECONDS
+    if (given > 0) noteSpending(pool, given, nowSeconds)
     return given
   }
 
   /** Tokens that the account spends here in a time, at its present rate. */
   spendingIn (account: string, seconds: number, nowSeconds: number): number {
-    const pool = this.#pool(account)
-    decayRate(pool, nowSeconds)
-    return Math.ceil(pool.tokensPerSecond * seconds)
+    return Math.ceil(this.rate(account, nowSeconds) * seconds)
   }
 
   /** Takes up to `tokens` free tokens out of the pool. Returns how many. */
@@ -88,14 +103,25 @@
     return taken
   }
 
-  /** Level that the pool aims at. `remaining` is what the page has left, `routers` the number of live routers. */
-  target (account: string, remaining: number, routers: number, policy: PoolPolicy, nowSeconds: number): number {
+  /**
+   * Level that the pool aims at: this router's part, by its spending, of what all hold together. That is the horizon's
+   * spending within the two shares of what is unspent.
+   */
+  target (account: string, outlook: AccountOutlook, policy: PoolPolicy, nowSeconds: number): number {
+    const own = this.rate(account, nowSeconds)
+    const all = own + outlook.spendingElsewhere
+    const unspent = Math.max(0, outlook.remaining + this.free(account) + outlook.freeElsewhere)
+    const together = Math.max(unspent * policy.idleShare, Math.min(all * policy.horizonSeconds, unspent * policy.aheadShare))
+    return Math.floor(together * (all > 0 ? own / all : 1 / Math.max(1, outlook.routers)))
+  }
+
+  /** Tokens a second that the account spends here. */
+  rate (account: string, nowSeconds: number): number {
     const pool = this.#pool(account)
     decayRate(pool, nowSeconds)
-    const outstanding = remaining + (pool.free * routers)
-    const evenShare = Math.max(0, outstanding) * policy.aheadShare / Math.max(1, routers)
-    const horizon = pool.tokensPerSecond * policy.horizonSeconds
-    return Math.floor(Math.min(Math.max(horizon, evenShare * policy.idleShare), evenShare))
+    if (pool.firstAt === undefined) return 0
+    const seen = 1 - Math.exp(-Math.max(LEAST_SEEN_SECONDS, nowSeconds - pool.firstAt) / RATE_WINDOW_SECONDS)
+    return pool.tokensPerSecond / seen
   }
 
   /** Tokens to draw (positive) or to return (negative) to come back to the target; 0 while it is near. */
@@ -114,13 +140,18 @@
   #pool (account: string): AccountPool {
     let pool = this.#accounts.get(account)
     if (pool === undefined) {
-      pool = { free: 0, reserved: 0, tokensPerSecond: 0, rateAt: 0 }
+      pool = { free: 0, reserved: 0, tokensPerSecond: 0, rateAt: 0, firstAt: undefined }
       this.#accounts.set(account, pool)
     }
     return pool
   }
 }
 
+function noteSpending (pool: AccountPool, tokens: number, nowSeconds: number): void {
+  pool.firstAt ??= nowSeconds
+  pool.tokensPerSecond += tokens / RATE_WINDOW_SECONDS
+}
+
 function decayRate (pool: AccountPool, nowSeconds: number): void {
   const elapsed = Math.max(0, nowSeconds - pool.rateAt)
   pool.tokensPerSecond *= Math.exp(-elapsed / RATE_WINDOW_SECONDS)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -210,6 +210,7 @@
       targetsRevision: this.#targets.changeRevision,
       work: Object.entries(this.#board.ownWork()).map(([id, work]) => ({ id, ...work })),
       freeTokens: this.#gateways() > MOST_TOLD_TOKENS ? {} : this.#tokens.freeTokens(),
+      spending: this.#gateways() > MOST_TOLD_TOKENS ? {} : this.#tokens.spending(),
       leavingTargets: this.#board.entries().filter((entry) => entry.leaving).map((entry) => entry.id)
     }
   }
@@ -300,7 +301,7 @@
     const others = names.map((name) => byHost.get(name)).filter((heartbeat) => heartbeat !== undefined)
     return {
       role: everyone ? tokenTasks.TokenRole.peer : names.includes(own) ? tokenTasks.TokenRole.holder : tokenTasks.TokenRole.borrower,
-      others: others.map((heartbeat) => ({ peerAddress: heartbeat.sender.peerAddress, freeTokens: everyone ? heartbeat.freeTokens[account] ?? 0 : undefined }))
+      others: others.map((heartbeat) => ({ peerAddress: heartbeat.sender.peerAddress, freeTokens: everyone ? heartbeat.freeTokens[account] ?? 0 : undefined, spending: everyone ? heartbeat.spending[account] ?? 0 : undefined }))
     }
   }
 
--- a/packages/gateway/src/token-task.ts
+++ b/packages/gateway/src/token-task.ts
@@ -49,13 +49,15 @@
 const ASK_ALL_INTERVAL_MS = 300
 
 /** Covers the longest outages of the store seen so far, and leaves a part of each budget to draw on after a crash of all. */
-export const POOL_POLICY: decisions.tokenPool.PoolPolicy = { horizonSeconds: 10, aheadShare: 0.42, idleShare: 0.75 }
+export const POOL_POLICY: decisions.tokenPool.PoolPolicy = { horizonSeconds: 11, aheadShare: 0.45, idleShare: 0.3 }
 
 /** Another gateway that may have tokens of an account. */
 export interface TokenHolder {
   peerAddress: string
   /** Free tokens as last heard; unknown in a large fleet. */
   freeTokens: number | undefined
+  /** Tokens a second that it spends of the account, as last heard; unknown in a large fleet. */
+  spending: number | undefined
 }
 
 /** How a gateway comes to an account's tokens. */
@@ -127,6 +129,11 @@
     return Object.fromEntries([...this.#pool.levels()].map(([account, level]) => [account, level.free]))
   }
 
+  /** Tokens a second that each account spends here, for heartbeats. */
+  spending (): Record<string, number> {
+    return Object.fromEntries([...this.#pool.levels().keys()].map((account) => [account, Math.round(this.#pool.rate(account, this.#seconds()))]))
+  }
+
   /** What a reservation was decided by, for the log. */
   inputs (account: string): Record<string, unknown> {
     return {
@@ -267,7 +274,14 @@
   #target (account: string): number {
     const { role, others } = this.#options.holders(account)
     if (role === TokenRole.borrower) return Math.min(this.#pool.free(account), this.#pool.spendingIn(account, KEPT_AHEAD_SECONDS, this.#seconds()))
-    return this.#pool.target(account, this.#options.pages.remaining(account), others.length + 1, this.#options.policy, this.#seconds())
+    const own = this.#pool.rate(account, this.#seconds())
+    const isKnown = role === TokenRole.peer
+    return this.#pool.target(account, {
+      remaining: this.#options.pages.remaining(account),
+      freeElsewhere: isKnown ? this.#elsewhere(account) : this.#pool.free(account) * others.length,
+      spendingElsewhere: isKnown ? others.reduce((sum, other) => sum + (other.spending ?? 0), 0) : own * others.length,
+      routers: others.length + 1
+    }, this.#options.policy, this.#seconds())
   }
 
   #mayAskAll (account: string): boolean {
--- a/packages/routers/src/gateway-messages.ts
+++ b/packages/routers/src/gateway-messages.ts
@@ -37,6 +37,8 @@
   work: TargetWorkMessage[]
   /** Free tokens that the sender holds, by client account. */
   freeTokens: Record<string, number>
+  /** Tokens a second that the sender spends, by client account. */
+  spending: Record<string, number>
   leavingTargets: string[]
 }
 
