Take test ports that outgoing connections leave alone; let replayed gateways balance at different times

Cause: a port that was free a moment ago was taken by an outgoing connection (EADDRINUSE, once in the budgets tests). Ports below the range of outgoing connections cannot be. The replay over 70 gateways let all of them write the page in the same millisecond, which no fleet does; six tries were too few there. It steps through them now; the bounds stay.

--- a/packages/gateway/test/budget-load.test.ts
+++ b/packages/gateway/test/budget-load.test.ts
@@ -10,6 +10,9 @@
 /** Length of one step, in milliseconds. */
 const STEP_MS = 50
 
+/** Steps after which a gateway balances its pool; each begins at another step. */
+const BALANCE_STEPS = 1000 / STEP_MS
+
 /** Worst case and true size of the replayed requests, in tokens. */
 const WORST_CASE_TOKENS = 5000
 const TRUE_TOKENS = 4400
@@ -60,7 +63,9 @@
     this.#store.down = options.storeDown ?? false
     for (let step = 0; step < seconds * 1000 / STEP_MS; step++) {
       this.#clock.time += STEP_MS
-      if (step % (1000 / STEP_MS) === 0) await Promise.all(this.#holders.map(async ({ task }) => { await task.balance() }))
+      for (const [index, { task }] of this.#holders.entries()) {
+        if ((step + index) % BALANCE_STEPS === 0) await task.balance()
+      }
       this.#carried += REQUESTS_A_SECOND * (options.factor ?? 1) * STEP_MS / 1000
       while (this.#carried >= 1) {
         this.#carried -= 1
--- a/packages/gateway/test/fleet.ts
+++ b/packages/gateway/test/fleet.ts
@@ -1,7 +1,6 @@
 import * as adapter from '@acaciaweir/platform-adapter'
 import * as runtime from '@acaciaweir/runtime'
 import * as standIns from '@acaciaweir/stand-ins'
-import * as net from 'node:net'
 import * as gateways from '../src/gateway.js'
 
 type PublishedTarget = standIns.publishedTarget.PublishedTarget
@@ -95,17 +94,8 @@
   }
 }
 
-/** A port that was free a moment ago. */
-async function freePort (): Promise<number> {
-  const server = net.createServer()
-  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
-  const { port } = server.address() as net.AddressInfo
-  await new Promise<void>((resolve) => { server.close(() => { resolve() }) })
-  return port
-}
-
 async function freeSettings (index: number, storeAddress: string): Promise<adapter.settingsFile.FleetSettings> {
-  const address = async (): Promise<string> => `127.0.0.1:${await freePort()}`
+  const address = async (): Promise<string> => `127.0.0.1:${await standIns.freePorts.freePort()}`
   return {
     host: `host-${index}`,
     ip: '127.0.0.1',
--- a/packages/proving/src/soak-fleet.ts
+++ b/packages/proving/src/soak-fleet.ts
@@ -1,6 +1,5 @@
 import * as standIns from '@acaciaweir/stand-ins'
 import * as fs from 'node:fs'
-import * as net from 'node:net'
 import * as os from 'node:os'
 import * as path from 'node:path'
 import * as url from 'node:url'
@@ -88,13 +87,20 @@
     for (let index = 0; index < 4; index++) await this.platform.addTarget('engines', `engines-${index}`)
     for (let index = 0; index < 3; index++) await this.platform.addTarget('orders', `orders-${index}`)
     this.platform.configure()
-    const peerPorts = await freePorts(gateways)
+    const peerPorts: number[] = []
+    while (peerPorts.length < gateways) peerPorts.push(await standIns.freePorts.freePort())
     const seedPeers = peerPorts.slice(0, 3).map((port) => `127.0.0.1:${port}`)
     for (let index = 0; index < gateways; index++) {
       const relay = new relays.Relay(storePort)
-      const [callerPort, readyPort, directoryPort] = await freePorts(3)
-      const storeAddress = `127.0.0.1:${await relay.listen()}`
-      const settings = { name: `host-${index}`, callerPort, readyPort, directoryPort, peerPort: peerPorts[index], storeAddress, seedPeers }
+      const settings: standIns.publishedSettings.PublishedHost = {
+        name: `host-${index}`,
+        callerPort: await standIns.freePorts.freePort(),
+        readyPort: await standIns.freePorts.freePort(),
+        directoryPort: await standIns.freePorts.freePort(),
+        peerPort: peerPorts[index],
+        storeAddress: `127.0.0.1:${await relay.listen()}`,
+        seedPeers
+      }
       this.hosts.push(new SoakHost(settings, relay, this.#folder))
     }
     for (const host of this.hosts) host.start(onOwnExit)
@@ -124,14 +130,3 @@
 export async function pause (milliseconds: number): Promise<void> {
   await new Promise<void>((resolve) => { setTimeout(resolve, milliseconds) })
 }
-
-/** Ports that were free a moment ago, all different. */
-async function freePorts (count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, async () => await new Promise<net.Server>((resolve) => {
-    const server = net.createServer()
-    server.listen(0, '127.0.0.1', () => { resolve(server) })
-  })))
-  const ports = servers.map((server) => (server.address() as net.AddressInfo).port)
-  await Promise.all(servers.map(async (server) => await new Promise<void>((resolve) => { server.close(() => { resolve() }) })))
-  return ports
-}
