--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -37,6 +37,14 @@
 /** Cost of one request in flight at a plain service, by its share of the slots. */
 const PLAIN_SLOT_COST = 10_000
 
+/** Prompt length at which attention, which grows with the square, takes as long as all else. Unit: tokens. */
+const ATTENTION_PARITY_TOKENS = 32_000
+
+/** Time to read a prompt, in tokens of a short prompt. A long one holds up those behind it for more than its length. */
+export function readingCost (promptTokens: number): number {
+  return Math.round(promptTokens * (1 + promptTokens / ATTENTION_PARITY_TOKENS))
+}
+
 /** Where a request goes, and which target's cache it can read shared parts from. */
 export interface Placement {
   target: boards.TargetState
--- a/packages/decisions/src/target-board.ts
+++ b/packages/decisions/src/target-board.ts
@@ -25,7 +25,7 @@
 /** Work in flight at a target. */
 export interface Work {
   requests: number
-  /** Prompt tokens of requests that have no first event yet. */
+  /** Time to read the prompts of requests that have no first event yet, in tokens of a short prompt. */
   unreadTokens: number
 }
 
--- a/packages/decisions/test/placement.test.ts
+++ b/packages/decisions/test/placement.test.ts
@@ -55,6 +55,20 @@
   })
 })
 
+describe('the cost of reading a prompt', () => {
+  const cases: Array<[number, number]> = [[0, 0], [1000, 1031], [32_000, 64_000], [54_000, 145_125]]
+  for (const [tokens, cost] of cases) {
+    it(`is ${cost} for ${tokens} tokens`, () => { expect(placement.readingCost(tokens)).to.equal(cost) })
+  }
+
+  it('keeps short requests away from a target that reads a very long one, though it has fewer tokens ahead', () => {
+    const targets = board(2)
+    targets.started('t0', placement.readingCost(40_000), [], 0)
+    for (let count = 0; count < 6; count++) targets.started('t1', placement.readingCost(7000), [], 0)
+    expect(chosen(targets, { ...request('session', 800), sharedParts: [] })).to.equal('t1')
+  })
+})
+
 describe('placing requests by load and health', () => {
   const cases: Array<{ name: string, prepare: (targets: targetBoard.TargetBoard) => void, now?: number, tried?: string[], expected: string | undefined }> = [
     { name: 'takes the target with the least work', prepare: (targets) => { targets.started('t0', 0, [], 0) }, expected: 't1' },
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -152,7 +152,7 @@
     const { board, clock } = this.#options
     const target = placement.target.entry
     const startedAt = clock.now()
-    const unreadTokens = call.request.promptTokens ?? 0
+    const unreadTokens = decisions.placement.readingCost(call.request.promptTokens ?? 0)
     let unread = unreadTokens
     const promptRead = (): void => {
       board.promptRead(target.id, unread)
