--- a/packages/decisions/src/token-pool.ts
+++ b/packages/decisions/src/token-pool.ts
@@ -27,10 +27,10 @@
 const LEAST_SEEN_SECONDS = 1.5
 
 /** Pool over its target by this factor gives the excess back; below, small changes cause no write. */
-const RETURN_FACTOR = 1.5
+const RETURN_FACTOR = 1.25
 
 /** Pool under this share of its target is filled up. */
-const REFILL_SHARE = 0.7
+const REFILL_SHARE = 0.75
 
 interface AccountPool {
   free: number
@@ -124,12 +124,10 @@
     return pool.tokensPerSecond / seen
   }
 
-  /** Tokens to draw (positive) or to return (negative) to come back to the target; 0 while it is near. */
-  correction (account: string, target: number): number {
+  /** Whether the pool is so far from its target that it is worth a write of the page. */
+  isOffTarget (account: string, target: number): boolean {
     const { free } = this.#pool(account)
-    if (free < target * REFILL_SHARE) return target - free
-    if (free > target * RETURN_FACTOR) return target - free
-    return 0
+    return free < target * REFILL_SHARE || free > target * RETURN_FACTOR
   }
 
   /** Levels of all accounts, for heartbeats and metrics. */
--- a/packages/decisions/test/tokens.test.ts
+++ b/packages/decisions/test/tokens.test.ts
@@ -72,12 +72,12 @@
     })
   }
 
-  const corrections: Array<[number, number, number]> = [[100, 100, 0], [80, 100, 0], [60, 100, 40], [140, 100, 0], [200, 100, -100]]
-  for (const [free, target, expected] of corrections) {
-    it(`changes ${free} tokens by ${expected} for a target of ${target}`, () => {
+  const levels: Array<[number, number, boolean]> = [[100, 100, false], [80, 100, false], [60, 100, true], [120, 100, false], [140, 100, true], [0, 0, false], [10, 0, true]]
+  for (const [free, target, expected] of levels) {
+    it(`is ${expected ? '' : 'not '}worth a write with ${free} tokens for a target of ${target}`, () => {
       const pool = new tokenPool.TokenPool()
       pool.add('depot', free)
-      expect(pool.correction('depot', target)).to.equal(expected)
+      expect(pool.isOffTarget('depot', target)).to.equal(expected)
     })
   }
 })
--- a/packages/gateway/src/token-task.ts
+++ b/packages/gateway/src/token-task.ts
@@ -49,7 +49,7 @@
 const ASK_ALL_INTERVAL_MS = 300
 
 /** Covers the longest outages of the store seen so far, and leaves a part of each budget to draw on after a crash of all. */
-export const POOL_POLICY: decisions.tokenPool.PoolPolicy = { horizonSeconds: 10.5, aheadShare: 0.45, idleShare: 0.3 }
+export const POOL_POLICY: decisions.tokenPool.PoolPolicy = { horizonSeconds: 9.5, aheadShare: 0.4, idleShare: 0.3 }
 
 /** Another gateway that may have tokens of an account. */
 export interface TokenHolder {
@@ -180,19 +180,25 @@
     this.#options.logger.info({ event: 'tokens-handed-back', result, accounts: changes.size })
   }
 
-  /** Brings the pool back to its targets: draws what is lacking and returns what is idle. */
+  /** Brings all pools back to their targets where one is far from its own: draws what is lacking and returns what is idle. */
   async balance (): Promise<void> {
     const totals = this.#options.totals()
     if (totals === undefined || this.#closing) return
     const changes = new Map<string, number>()
+    let isDue = false
     for (const [account, total] of Object.entries(totals.totals)) {
-      const wanted = this.#pool.correction(account, this.#target(account))
+      const target = this.#target(account)
+      const wanted = target - this.#pool.free(account)
       const { role } = this.#options.holders(account)
       if (Math.abs(wanted) < total * (role === TokenRole.borrower ? SMALLEST_RETURN_SHARE : SMALLEST_CHANGE_SHARE)) continue
-      if (wanted > 0) changes.set(account, wanted)
-      else changes.set(account, -this.#pool.take(account, -wanted))
+      changes.set(account, wanted)
+      isDue ||= this.#pool.isOffTarget(account, target)
     }
-    if (changes.size > 0) await this.#options.pages.ask(changes)
+    if (!isDue) return
+    for (const [account, wanted] of changes) {
+      if (wanted < 0) changes.set(account, -this.#pool.take(account, -wanted))
+    }
+    await this.#options.pages.ask(changes)
   }
 
   async #run (): Promise<void> {
