Divide a new account's pool evenly at first, and always a quarter of it

Writes of the page had doubled, too: spending is averaged over 6 s instead of 4, pools are balanced each 1.5 s, and the band is 0.7 to 1.35 of the target.

--- a/packages/decisions/src/token-pool.ts
+++ b/packages/decisions/src/token-pool.ts
@@ -21,22 +21,30 @@
 }
 
 /** Time constant of the spending rate's moving average, in seconds. */
-const RATE_WINDOW_SECONDS = 4
+const RATE_WINDOW_SECONDS = 6
 
 /** Least time over which a new account's spending is averaged, in seconds. */
 const LEAST_SEEN_SECONDS = 1.5
 
+/** Time constant with which parts come to follow an account's spending, in seconds. */
+const LEARNING_SECONDS = 10
+
+/** Least weight of the even part. A router that is cut off has to serve callers that were elsewhere before. */
+const LEAST_EVEN_WEIGHT = 0.25
+
 /** Pool over its target by this factor gives the excess back; below, small changes cause no write. */
-const RETURN_FACTOR = 1.25
+const RETURN_FACTOR = 1.35
 
 /** Pool under this share of its target is filled up. */
-const REFILL_SHARE = 0.75
+const REFILL_SHARE = 0.7
 
 interface AccountPool {
   free: number
   reserved: number
   tokensPerSecond: number
   rateAt: number
+  /** When a target was first asked for. */
+  knownAt: number | undefined
   /** When the account first spent here. */
   firstAt: number | undefined
 }
@@ -112,7 +120,16 @@
     const all = own + outlook.spendingElsewhere
     const unspent = Math.max(0, outlook.remaining + this.free(account) + outlook.freeElsewhere)
     const together = Math.max(unspent * policy.idleShare, Math.min(all * policy.horizonSeconds, unspent * policy.aheadShare))
-    return Math.floor(together * (all > 0 ? own / all : 1 / Math.max(1, outlook.routers)))
+    const evenPart = 1 / Math.max(1, outlook.routers)
+    const weight = this.#evenWeight(account, nowSeconds)
+    return Math.floor(together * (all > 0 ? weight * evenPart + (1 - weight) * own / all : evenPart))
+  }
+
+  /** How far a part is even rather than by spending: wholly for a new account, whose spending tells nothing yet. */
+  #evenWeight (account: string, nowSeconds: number): number {
+    const pool = this.#pool(account)
+    pool.knownAt ??= nowSeconds
+    return Math.max(LEAST_EVEN_WEIGHT, Math.exp(-(nowSeconds - pool.knownAt) / LEARNING_SECONDS))
   }
 
   /** Tokens a second that the account spends here. */
@@ -138,7 +155,7 @@
   #pool (account: string): AccountPool {
     let pool = this.#accounts.get(account)
     if (pool === undefined) {
-      pool = { free: 0, reserved: 0, tokensPerSecond: 0, rateAt: 0, firstAt: undefined }
+      pool = { free: 0, reserved: 0, tokensPerSecond: 0, rateAt: 0, firstAt: undefined, knownAt: undefined }
       this.#accounts.set(account, pool)
     }
     return pool
--- a/packages/gateway/src/token-task.ts
+++ b/packages/gateway/src/token-task.ts
@@ -7,7 +7,7 @@
 export type ReserveOutcome = typeof ReserveOutcome[keyof typeof ReserveOutcome]
 
 /** Interval at which the pool is brought back to its target, in milliseconds, for a fleet of up to ten gateways. */
-const BALANCE_INTERVAL_MS = 1000
+const BALANCE_INTERVAL_MS = 1500
 
 /** Added to the interval for each gateway beyond ten, in milliseconds, so that writes of the page seldom meet. */
 const BALANCE_INTERVAL_PER_GATEWAY_MS = 40
