--- a/packages/decisions/src/token-pool.ts
+++ b/packages/decisions/src/token-pool.ts
@@ -33,7 +33,7 @@
 const LEAST_EVEN_WEIGHT = 0.25
 
 /** Pool over its target by this factor gives the excess back; below, small changes cause no write. */
-const RETURN_FACTOR = 1.35
+const RETURN_FACTOR = 1.25
 
 /** Pool under this share of its target is filled up. */
 const REFILL_SHARE = 0.7
@@ -43,8 +43,10 @@
   reserved: number
   tokensPerSecond: number
   rateAt: number
-  /** When a target was first asked for. */
-  knownAt: number | undefined
+  /** The account was seen when no router spent of it. */
+  wasIdle: boolean
+  /** When the first router spent of it, as far as this one has seen. */
+  spendingSince: number | undefined
   /** When the account first spent here. */
   firstAt: number | undefined
 }
@@ -121,15 +123,16 @@
     const unspent = Math.max(0, outlook.remaining + this.free(account) + outlook.freeElsewhere)
     const together = Math.max(unspent * policy.idleShare, Math.min(all * policy.horizonSeconds, unspent * policy.aheadShare))
     const evenPart = 1 / Math.max(1, outlook.routers)
-    const weight = this.#evenWeight(account, nowSeconds)
+    const weight = this.#evenWeight(account, all, nowSeconds)
     return Math.floor(together * (all > 0 ? weight * evenPart + (1 - weight) * own / all : evenPart))
   }
 
-  /** How far a part is even rather than by spending: wholly for a new account, whose spending tells nothing yet. */
-  #evenWeight (account: string, nowSeconds: number): number {
+  /** How far a part is even rather than by spending: wholly where the account begins to spend, as that tells little yet. */
+  #evenWeight (account: string, spendingOfAll: number, nowSeconds: number): number {
     const pool = this.#pool(account)
-    pool.knownAt ??= nowSeconds
-    return Math.max(LEAST_EVEN_WEIGHT, Math.exp(-(nowSeconds - pool.knownAt) / LEARNING_SECONDS))
+    if (spendingOfAll > 0) pool.spendingSince ??= pool.wasIdle ? nowSeconds : -Infinity
+    else pool.wasIdle = true
+    return Math.max(LEAST_EVEN_WEIGHT, Math.exp(-(nowSeconds - (pool.spendingSince ?? nowSeconds)) / LEARNING_SECONDS))
   }
 
   /** Tokens a second that the account spends here. */
@@ -155,7 +158,7 @@
   #pool (account: string): AccountPool {
     let pool = this.#accounts.get(account)
     if (pool === undefined) {
-      pool = { free: 0, reserved: 0, tokensPerSecond: 0, rateAt: 0, firstAt: undefined, knownAt: undefined }
+      pool = { free: 0, reserved: 0, tokensPerSecond: 0, rateAt: 0, firstAt: undefined, wasIdle: false, spendingSince: undefined }
       this.#accounts.set(account, pool)
     }
     return pool
--- a/packages/gateway/src/token-pages.ts
+++ b/packages/gateway/src/token-pages.ts
@@ -86,7 +86,9 @@
     return this.#options.clock.now() - this.#failedAt < pauseMs
   }
 
+  /** Applies changes of accounts; none at all only reads the page. */
   protected override async handle (wanted: Map<string, number>): Promise<PageResult> {
+    if (wanted.size === 0) return !this.isPaused() && await this.#read() ? PageResult.changed : PageResult.unreachable
     const returned = new Map([...wanted].filter(([, tokens]) => tokens < 0))
     for (let attempt = 0; attempt < MOST_TRIES && !this.isPaused(); attempt++) {
       if (this.#revision === undefined && !await this.#read()) break
--- a/packages/gateway/src/token-task.ts
+++ b/packages/gateway/src/token-task.ts
@@ -163,7 +163,7 @@
   async giveAway (account: string, tokens: number): Promise<Received> {
     const { role } = this.#options.holders(account)
     if (role === TokenRole.holder && this.#pool.free(account) < tokens) await this.#draw(account, tokens)
-    const given = this.#pool.give(account, tokens, this.#seconds())
+    const given = role === TokenRole.peer ? this.#pool.take(account, tokens) : this.#pool.give(account, tokens, this.#seconds())
     return { tokens: given, usedUp: role === TokenRole.holder && given < tokens && this.#isUsedUp(account, tokens - given) }
   }
 
@@ -184,6 +184,7 @@
   async balance (): Promise<void> {
     const totals = this.#options.totals()
     if (totals === undefined || this.#closing) return
+    if (this.#options.pages.ageMs() === Infinity && await this.#options.pages.ask(new Map()) === pages.PageResult.unreachable) return
     const changes = new Map<string, number>()
     let isDue = false
     for (const [account, total] of Object.entries(totals.totals)) {
