--- a/packages/gateway/src/token-task.ts
+++ b/packages/gateway/src/token-task.ts
@@ -49,7 +49,7 @@
 const ASK_ALL_INTERVAL_MS = 300
 
 /** Covers the longest outages of the store seen so far, and leaves a part of each budget to draw on after a crash of all. */
-export const POOL_POLICY: decisions.tokenPool.PoolPolicy = { horizonSeconds: 9.5, aheadShare: 0.4, idleShare: 0.3 }
+export const POOL_POLICY: decisions.tokenPool.PoolPolicy = { horizonSeconds: 9.5, aheadShare: 0.3, idleShare: 0.28 }
 
 /** Another gateway that may have tokens of an account. */
 export interface TokenHolder {
