--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -94,7 +94,7 @@
     try {
       await this.#serve(message, response, arrivedAt)
     } catch (error) {
-      this.#options.logger.error({ event: 'request-error', request: message.headers['attempt-id'], reason: (error as Error).stack })
+      this.#options.logger.error({ event: 'request-error', request: adapter.callerRequest.attemptIdForLog(message), reason: (error as Error).stack })
       answers.refuse(response, { status: 500, reason: 'internal error' })
     } finally {
       this.#inProgress -= 1
@@ -189,7 +189,7 @@
     this.#options.metrics.request('none', `refused-${refusal.status}`, 0)
     this.#options.log.write({
       event: 'request-refused',
-      request: message.headers['attempt-id'],
+      request: adapter.callerRequest.attemptIdForLog(message),
       status: refusal.status,
       reason: refusal.reason,
       agreementVersion: table?.agreement.version,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,6 +8,7 @@
 import * as configurations from './configuration-watch.js'
 import * as logs from './decision-log.js'
 import * as entries from './entry-server.js'
+import * as fleetViews from './fleet-view.js'
 import * as metrics from './gateway-metrics.js'
 import * as loads from './load-meter.js'
 import * as peerTables from './peer-table.js'
@@ -66,6 +67,7 @@
   readonly #allowance: decisions.retryAllowance.RetryAllowance
   readonly #connections = new targetConnections.TargetConnections()
   readonly #peers: peerTables.PeerTable
+  readonly #view: fleetViews.FleetView
   readonly #configuration: configurations.ConfigurationWatch
   readonly #targets: targetWatches.TargetWatch
   readonly #pages: tokenPages.TokenPages
@@ -86,9 +88,10 @@
     this.#logger = options.log.logger.child({ incarnation: this.#incarnation })
     this.#store = new adapter.storeClient.StoreClient({ address: options.fleet.storeAddress, timeoutMs: STORE_TIMEOUT_MS, logger: this.#logger })
     this.#peers = new peerTables.PeerTable(options.fleet.peerListen)
+    this.#view = new fleetViews.FleetView(options.fleet.host, options.fleet.availabilityZone, this.#peers, this.#clock)
     this.#allowance = new decisions.retryAllowance.RetryAllowance(options.fleet.retryBudget)
     this.#load = new loads.LoadMeter(this.#clock, options.fleet.processorShare)
-    const pauseMs = (): number => this.#hasWatchDuty() ? 0 : DUTY_CHECK_MS
+    const pauseMs = (): number => this.#view.hasWatchDuty() ? 0 : DUTY_CHECK_MS
     const shared = { store: this.#store, clock: this.#clock, logger: this.#logger, pauseMs }
     this.#configuration = new configurations.ConfigurationWatch(shared, (table) => { this.#useAgreement(table) })
     this.#targets = new targetWatches.TargetWatch(shared, this.#board)
@@ -96,7 +99,7 @@
       ...shared,
       incarnation: this.#incarnation,
       totals: () => this.#totals(),
-      gateways: () => this.#gateways(),
+      gateways: () => this.#view.gateways(),
       onTokens: (account, tokens) => { this.#pool.add(account, tokens) }
     })
     this.#tokens = this.#createTokenTask()
@@ -180,14 +183,10 @@
   }
 
   #serving (): routers.gatewayMessages.GatewayMember[] {
-    const others = this.#peers.serving(this.#clock.now())
+    const others = this.#view.serving()
     return this.#isReady() ? [this.#member(), ...others] : others
   }
 
-  #gateways (): number {
-    return 1 + this.#peers.live(this.#clock.now()).length
-  }
-
   #member (): routers.gatewayMessages.GatewayMember {
     return {
       host: this.#fleet.host,
@@ -209,8 +208,8 @@
       agreementVersion: this.#configuration.version,
       targetsRevision: this.#targets.changeRevision,
       work: Object.entries(this.#board.ownWork()).map(([id, work]) => ({ id, ...work })),
-      freeTokens: this.#gateways() > MOST_TOLD_TOKENS ? {} : this.#tokens.freeTokens(),
-      spending: this.#gateways() > MOST_TOLD_TOKENS ? {} : this.#tokens.spending(),
+      freeTokens: this.#view.gateways() > MOST_TOLD_TOKENS ? {} : this.#tokens.freeTokens(),
+      spending: this.#view.gateways() > MOST_TOLD_TOKENS ? {} : this.#tokens.spending(),
       leavingTargets: this.#board.entries().filter((entry) => entry.leaving).map((entry) => entry.id)
     }
   }
@@ -222,16 +221,10 @@
     if (heartbeat.agreementVersion === this.#configuration.version) {
       this.#agreementConfirmedAt = Math.max(this.#agreementConfirmedAt, now - heartbeat.sender.storeSilenceMs)
     }
-    const needsTargets = heartbeat.targetsRevision > this.#targets.changeRevision && (this.#targets.changeRevision === 0 || !this.#hasWatchDuty())
+    const needsTargets = heartbeat.targetsRevision > this.#targets.changeRevision && (this.#targets.changeRevision === 0 || !this.#view.hasWatchDuty())
     if (heartbeat.agreementVersion > this.#configuration.version || needsTargets) void this.#peerTask.fetchState(heartbeat.sender.peerAddress)
   }
 
-  #hasWatchDuty (): boolean {
-    const others = this.#peers.live(this.#clock.now()).map((heartbeat) => heartbeat.sender)
-    const watchers = others.map((member) => ({ name: member.host, availabilityZone: member.availabilityZone, storeSilenceMs: member.storeSilenceMs }))
-    return decisions.watchDuty.hasWatchDuty({ name: this.#fleet.host, availabilityZone: this.#fleet.availabilityZone, storeSilenceMs: 0 }, watchers)
-  }
-
   #known (): routers.gatewayMessages.StateRequest {
     return { agreementVersion: this.#configuration.version, targetsRevision: this.#targets.changeRevision }
   }
@@ -292,19 +285,6 @@
     else this.#logger.warn({ event: 'gateway-entry-skipped', host: object.name, revision: object.revision })
   }
 
-  /** Who draws an account's tokens, as far as this gateway hears the others. */
-  #holders (account: string): tokenTasks.AccountHolders {
-    const live = this.#peers.live(this.#clock.now()).filter((heartbeat) => !heartbeat.sender.leaving)
-    const own = this.#fleet.host
-    const { names, everyone } = decisions.tokenHolders.tokenHolders(account, own, [own, ...live.map((heartbeat) => heartbeat.sender.host)])
-    const byHost = new Map(live.map((heartbeat) => [heartbeat.sender.host, heartbeat]))
-    const others = names.map((name) => byHost.get(name)).filter((heartbeat) => heartbeat !== undefined)
-    return {
-      role: everyone ? tokenTasks.TokenRole.peer : names.includes(own) ? tokenTasks.TokenRole.holder : tokenTasks.TokenRole.borrower,
-      others: others.map((heartbeat) => ({ peerAddress: heartbeat.sender.peerAddress, freeTokens: everyone ? heartbeat.freeTokens[account] ?? 0 : undefined, spending: everyone ? heartbeat.spending[account] ?? 0 : undefined }))
-    }
-  }
-
   #createTokenTask (): tokenTasks.TokenTask {
     return new tokenTasks.TokenTask(this.#pool, {
       policy: tokenTasks.POOL_POLICY,
@@ -312,8 +292,8 @@
       clock: this.#clock,
       logger: this.#logger,
       totals: () => this.#totals(),
-      gateways: () => this.#gateways(),
-      holders: (account) => this.#holders(account),
+      gateways: () => this.#view.gateways(),
+      holders: (account) => this.#view.holders(account),
       transfer: async (peerAddress, account, tokens) => await this.#peerTask.transfer(peerAddress, account, tokens)
     })
   }
@@ -342,7 +322,7 @@
       allowance: this.#allowance,
       availabilityZone: this.#fleet.availabilityZone,
       service: (name) => this.#configuration.table?.service(name),
-      gateways: () => this.#gateways(),
+      gateways: () => this.#view.gateways(),
       onFirstEvent: (milliseconds) => { this.#metrics.firstEvent(milliseconds / 1000) }
     })
     return new callerServers.CallerServer({
--- a/packages/gateway/test/fleet.ts
+++ b/packages/gateway/test/fleet.ts
@@ -65,13 +65,13 @@
   /** Sends a request to a gateway as a caller. */
   async call (index: number, path: string, headers: Record<string, string> = {}, body = ''): Promise<CallerAnswer> {
     this.#attempts += 1
-    return await standIns.publishedCaller.send(this.settings[index].callerListen, path, {
+    const usual = standIns.publishedCaller.callerHeaders({
       host: standIns.publishedPlatform.HOST,
-      'attempt-id': `attempt-${this.#attempts}`,
-      'api-key': this.platform.accounts[0].key,
-      'deadline-remaining-ms': '4000',
-      ...headers
-    }, body)
+      attemptId: `attempt-${this.#attempts}`,
+      key: this.platform.accounts[0].key,
+      waitsMs: 4000
+    })
+    return await standIns.publishedCaller.send(this.settings[index].callerListen, path, { ...usual, ...headers }, body)
   }
 
   /** Sends a model request of the given size. */
--- a/packages/proving/src/soak-callers.ts
+++ b/packages/proving/src/soak-callers.ts
@@ -60,14 +60,13 @@
     this.#sent += 1
     const attemptId = `attempt-${this.#sent}`
     const path = `${kind.path}${this.#sent}`
-    const session = this.#random.integer(6)
-    const headers: Record<string, string> = {
+    const headers = standIns.publishedCaller.callerHeaders({
       host: standIns.publishedPlatform.HOST,
-      'attempt-id': attemptId,
-      'api-key': account.key,
-      'deadline-remaining-ms': String(WAIT_MS)
-    }
-    if (kind.streamed) Object.assign(headers, { model: 'm', 'token-counts': '90,10', 'prompt-prefix': `a${session}:60,b${this.#sent}:30` })
+      attemptId,
+      key: account.key,
+      waitsMs: WAIT_MS,
+      model: kind.streamed ? { promptTokens: 90, outputTokens: 10, session: `a${this.#random.integer(6)}` } : undefined
+    })
     const sentAt = performance.now()
     const before = host.disturbed
     const answer = await standIns.publishedCaller.send(host.callerAddress, path, headers, kind.path === '/order/' ? 'order' : '')
--- a/packages/proving/src/soak.ts
+++ b/packages/proving/src/soak.ts
@@ -69,7 +69,8 @@
       if (!exhausted && (answer.status !== 200 || !answer.whole)) breaches.push({ promise: 'recovery after faults', detail: `${host.name} answers ${path} with ${answer.status} ${answer.body.slice(0, 100)}` })
     }
     if (newest === 0) continue
-    const added = await standIns.publishedCaller.send(host.callerAddress, `/added-${newest}/x`, { host: standIns.publishedPlatform.HOST, 'attempt-id': `added-${host.name}` })
+    const headers = standIns.publishedCaller.callerHeaders({ host: standIns.publishedPlatform.HOST, attemptId: `added-${host.name}` })
+    const added = await standIns.publishedCaller.send(host.callerAddress, `/added-${newest}/x`, headers)
     if (added.status !== 200) breaches.push({ promise: 'configuration in force', detail: `${host.name} answers the newest route with ${added.status}` })
   }
   return breaches
--- a/packages/router-daemon/src/router-metrics.ts
+++ b/packages/router-daemon/src/router-metrics.ts
@@ -22,27 +22,23 @@
 
 /** The router's metrics and the port on which they are read. */
 export class RouterMetrics {
-  readonly #registry = new metrics.Registry()
+  readonly #port = new runtime.metricsPort.MetricsPort()
   readonly #requests: metrics.Counter
   readonly #latency: metrics.Histogram
-  readonly #server = new runtime.httpServer.HttpServer(async (_request, response) => {
-    response.writeHead(200, { 'content-type': this.#registry.contentType })
-    response.end(await this.#registry.metrics())
-  })
 
   constructor (source: GaugeSource) {
-    const registers = [this.#registry]
+    const registers = [this.#port.registry]
     this.#requests = new metrics.Counter({ name: 'acaciaweir_requests_total', help: 'Requests by outcome', labelNames: ['outcome'], registers })
     this.#latency = new metrics.Histogram({ name: 'acaciaweir_request_seconds', help: 'Time to the end of the answer', buckets: LATENCY_BUCKETS_SECONDS, registers })
-    this.#gauge('acaciaweir_open_reservations', 'Requests that hold a reservation', source.reservations)
-    this.#gauge('acaciaweir_open_streams', 'Streams in progress', source.streams)
-    this.#gauge('acaciaweir_witnessed_records', 'Records held for other routers', source.witnessedRecords)
-    this.#gauge('acaciaweir_configuration_generation', 'Configuration generation in force', source.generation)
-    this.#gauge('acaciaweir_recovering_incarnations', 'Ended incarnations being recovered here', source.recovering)
-    this.#gauge('acaciaweir_unsettled_requests', 'Requests whose target has not said what became of them', source.unsettled)
-    this.#gauge('acaciaweir_journal_age_milliseconds', 'Time since the journal was last written', source.journalAgeMs)
-    this.#platformCalls(source.platformCalls)
-    metrics.collectDefaultMetrics({ register: this.#registry, eventLoopMonitoringPrecision: EVENT_LOOP_PRECISION_MS })
+    this.#port.gauge('acaciaweir_open_reservations', 'Requests that hold a reservation', source.reservations)
+    this.#port.gauge('acaciaweir_open_streams', 'Streams in progress', source.streams)
+    this.#port.gauge('acaciaweir_witnessed_records', 'Records held for other routers', source.witnessedRecords)
+    this.#port.gauge('acaciaweir_configuration_generation', 'Configuration generation in force', source.generation)
+    this.#port.gauge('acaciaweir_recovering_incarnations', 'Ended incarnations being recovered here', source.recovering)
+    this.#port.gauge('acaciaweir_unsettled_requests', 'Requests whose target has not said what became of them', source.unsettled)
+    this.#port.gauge('acaciaweir_journal_age_milliseconds', 'Time since the journal was last written', source.journalAgeMs)
+    this.#port.labelledGauge('acaciaweir_platform_calls', 'Calls to the platform since the start, by kind', 'kind', source.platformCalls)
+    metrics.collectDefaultMetrics({ register: this.#port.registry, eventLoopMonitoringPrecision: EVENT_LOOP_PRECISION_MS })
   }
 
   /** Counts a request. The outcome is `served` or the tag of a problem. */
@@ -52,24 +48,10 @@
   }
 
   listen (port: number, address: string): Promise<number> {
-    return this.#server.listen(port, address)
+    return this.#port.listen(port, address)
   }
 
   close (): void {
-    this.#server.closeNow()
-  }
-
-  #gauge (name: string, help: string, read: () => number): void {
-    const gauge: metrics.Gauge = new metrics.Gauge({ name, help, registers: [this.#registry], collect: () => { gauge.set(read()) } })
-  }
-
-  #platformCalls (read: () => platform.platformClient.CallCounts): void {
-    const gauge: metrics.Gauge = new metrics.Gauge({
-      name: 'acaciaweir_platform_calls',
-      help: 'Calls to the platform since the start, by kind',
-      labelNames: ['kind'],
-      registers: [this.#registry],
-      collect: () => { for (const [kind, count] of Object.entries(read())) gauge.set({ kind }, count) }
-    })
+    this.#port.close()
   }
 }
--- a/packages/stand-ins/src/published-caller.ts
+++ b/packages/stand-ins/src/published-caller.ts
@@ -10,6 +10,32 @@
   whole: boolean
 }
 
+/** What a stand-in caller says of its request. */
+export interface CallerFacts {
+  host: string
+  attemptId: string
+  key?: string
+  waitsMs?: number
+  /** Prompt tokens and most output tokens of a model request, with the session that its prompt belongs to. */
+  model?: { promptTokens: number, outputTokens: number, session: string }
+}
+
+/** Headers of a caller's request. */
+export function callerHeaders (facts: CallerFacts): Record<string, string> {
+  const headers: Record<string, string> = { host: facts.host, 'attempt-id': facts.attemptId }
+  if (facts.key !== undefined) headers['api-key'] = facts.key
+  if (facts.waitsMs !== undefined) headers['deadline-remaining-ms'] = String(facts.waitsMs)
+  if (facts.model === undefined) return headers
+  const { promptTokens, outputTokens, session } = facts.model
+  const shared = Math.floor(promptTokens / 2)
+  return {
+    ...headers,
+    model: 'm',
+    'token-counts': `${promptTokens},${outputTokens}`,
+    'prompt-prefix': `${session}:${shared},${Buffer.from(facts.attemptId).toString('hex')}:${promptTokens - shared}`
+  }
+}
+
 /** Sends one request on a connection of its own. */
 export function send (address: string, path: string, headers: Record<string, string>, body = ''): Promise<CallerAnswer> {
   return new Promise((resolve) => {
