--- a/packages/gateway/test/serving.test.ts
+++ b/packages/gateway/test/serving.test.ts
@@ -5,6 +5,22 @@
 const { expect } = chai
 const { TargetFault } = standIns.publishedTarget
 
+describe('leaving', () => {
+  it('ends the streams in progress, and serves what still comes', async () => {
+    const fleet = await fleets.TestFleet.start({ gateways: 1, engines: 1, plain: 1, engine: { events: 40, eventIntervalMs: 20 } })
+    const stream = fleet.callModel(0, '/plan/1', 100, 50)
+    await fleets.eventually(() => fleet.platform.runs().length === 1)
+    void fleet.gateways[0].shutDown()
+    const late = await fleet.call(0, '/order/1', {}, 'order')
+    expect(late.status).to.equal(200)
+    expect(late.headers.connection).to.equal('close')
+    const answer = await stream
+    expect(answer.whole).to.equal(true)
+    expect(answer.body.match(/^id: \d+$/gm)).to.have.length(40)
+    fleet.stop()
+  })
+})
+
 describe('serving callers', () => {
   let fleet: fleets.TestFleet
 
