--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -22,10 +22,10 @@
 /** Share of the remaining time that one send of a repeatable request may take while another target could be asked. */
 const FIRST_SEND_SHARE = 0.5
 
-/** Silence after which a stream that may be resumed moves to another target: at least this, in milliseconds … */
+/** Least silence after which a stream that may be resumed moves to another target, in milliseconds. */
 const LEAST_STREAM_SILENCE_MS = 1200
 
-/** … and at least this many times the route's latency objective. Callers give up after four. */
+/** The same as a multiple of the route's latency objective; the longer counts. Callers give up after four objectives. */
 const STREAM_SILENCE_OBJECTIVES = 3
 
 /** What serving a call needs. */
--- a/packages/gateway/src/token-task.ts
+++ b/packages/gateway/src/token-task.ts
@@ -48,7 +48,7 @@
 /** Time after all other gateways were asked in vain in which they are not asked again for the account, in milliseconds. */
 const ASK_ALL_INTERVAL_MS = 300
 
-/** Covers the longest outages of the store seen so far, and leaves a part of each budget to draw on after a crash of all. */
+/** Bridges nine seconds without the store, and leaves seven tenths of what an account has unspent to a fleet that lost all power. */
 export const POOL_POLICY: decisions.tokenPool.PoolPolicy = { horizonSeconds: 9.5, aheadShare: 0.3, idleShare: 0.28 }
 
 /** Another gateway that may have tokens of an account. */
@@ -93,6 +93,7 @@
   totals: () => pages.PrepaidTotals | undefined
   /** Live gateways, this one included. */
   gateways: () => number
+  /** Who draws the account's tokens from the page. */
   holders: (account: string) => AccountHolders
   /** Asks another gateway for tokens. Undefined where it does not answer. */
   transfer: (peerAddress: string, account: string, tokens: number) => Promise<Received | undefined>
@@ -277,7 +278,7 @@
     return received?.tokens ?? 0
   }
 
-  /** Level that the pool aims at. A borrower asks for what it needs, and keeps no more than a few seconds of spending. */
+  /** Level that the pool aims at. A borrower asks for what it needs, and keeps no more than a second of spending. */
   #target (account: string): number {
     const { role, others } = this.#options.holders(account)
     if (role === TokenRole.borrower) return Math.min(this.#pool.free(account), this.#pool.spendingIn(account, KEPT_AHEAD_SECONDS, this.#seconds()))
