--- a/packages/stand-ins/src/published-platform.ts
+++ b/packages/stand-ins/src/published-platform.ts
@@ -71,13 +71,19 @@
     return this.targets.flatMap((target) => target.runs)
   }
 
-  /** Tokens that the targets served to an account: prompts of runs, and events that left them. */
+  /**
+   * Tokens that the targets served to an account: each request's prompt once, however many targets read it, and all events
+   * that left them.
+   */
   served (account: string): number {
-    let tokens = 0
+    const prompts = new Map<string, number>()
+    let events = 0
     for (const run of this.runs()) {
-      if (run.account === account && run.tokenCounts !== undefined) tokens += Number(run.tokenCounts.split(',')[0]) + run.sentEvents
+      if (run.account !== account || run.tokenCounts === undefined) continue
+      prompts.set(run.attemptId, Number(run.tokenCounts.split(',')[0]))
+      events += run.sentEvents
     }
-    return tokens
+    return [...prompts.values()].reduce((sum, tokens) => sum + tokens, events)
   }
 
   close (): void {
