--- a/packages/decisions/src/token-page.ts
+++ b/packages/decisions/src/token-page.ts
@@ -52,10 +52,3 @@
   }
   return { page: { ...page, drawn, changes: { ...page.changes, [incarnation]: changeNumber } }, applied }
 }
-
-/** Drops the change numbers of incarnations that ended. */
-export function withoutIncarnations (page: TokenPage, isEnded: (incarnation: string) => boolean): TokenPage {
-  const kept = Object.entries(page.changes).filter(([incarnation]) => !isEnded(incarnation))
-  if (kept.length === Object.keys(page.changes).length) return page
-  return { ...page, changes: Object.fromEntries(kept) }
-}
