--- a/packages/proving/src/fleet.ts
+++ b/packages/proving/src/fleet.ts
@@ -117,10 +117,10 @@
     await target.process.exited()
   }
 
-  /** All that a target served, also before it was killed. */
-  async served (target: FleetTarget): Promise<unknown[]> {
-    if (!target.alive) return target.servedBefore
-    return [...target.servedBefore, ...await this.#servedNow(target)]
+  /** All that a target served: before it was last killed, and since it was last started. */
+  async served (target: FleetTarget): Promise<{ beforeKill: unknown[], sinceStart: unknown[] }> {
+    const sinceStart = target.alive ? await this.#servedNow(target) : []
+    return { beforeKill: target.servedBefore, sinceStart }
   }
 
   async setTarget (target: FleetTarget, change: object): Promise<void> {
--- a/packages/proving/src/routing-experiment.ts
+++ b/packages/proving/src/routing-experiment.ts
@@ -91,7 +91,7 @@
 
 /** How even the requests are over the targets, and how many found their beginning in the target's cache. */
 async function spread (fleet: fleets.Fleet): Promise<object> {
-  const served = await Promise.all(fleet.targets.map((target) => fleet.served(target)))
+  const served = await Promise.all(fleet.targets.map(async (target) => (await fleet.served(target)).sinceStart))
   const counts = served.map((runs) => runs.length)
   const mean = counts.reduce((total, count) => total + count, 0) / counts.length
   const reused = served.flat().filter((run) => (run as { prefixReused?: boolean }).prefixReused === true).length
