Find tokens for all waiting requests, and do not swap them

Change: draws cover all that waits, a waiting gateway gives to one of the two sides only, answers to transfers tell what is left.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -287,6 +287,7 @@
 
   #createTokenTask (): tokenTasks.TokenTask {
     return new tokenTasks.TokenTask(this.#pool, {
+      selfAddress: this.#fleet.peerListen,
       policy: tokenTasks.POOL_POLICY,
       pages: this.#pages,
       clock: this.#clock,
@@ -300,6 +301,7 @@
 
   #createPeerTask (): peerTasks.PeerTask {
     return new peerTasks.PeerTask({
+      selfAddress: this.#fleet.peerListen,
       table: this.#peers,
       seeds: this.#fleet.seedPeers,
       clock: this.#clock,
@@ -307,7 +309,7 @@
       heartbeat: () => this.#heartbeat(),
       state: (known) => this.#state(known),
       known: () => this.#known(),
-      giveTokens: async (account, tokens) => await this.#tokens.giveAway(account, tokens),
+      giveTokens: async (request) => await this.#tokens.giveAway(request),
       onHeartbeat: (heartbeat) => { this.#hear(heartbeat) },
       onState: (state) => { this.#useState(state) }
     })
--- a/packages/gateway/src/peer-table.ts
+++ b/packages/gateway/src/peer-table.ts
@@ -58,6 +58,12 @@
     return !wasLive
   }
 
+  /** Corrects what a gateway was last heard to hold: its heartbeats are older than its answer to a transfer. */
+  noteFreeTokens (peerAddress: string, account: string, freeTokens: number): void {
+    const heartbeat = this.#peers.get(peerAddress)?.heartbeat
+    if (heartbeat !== undefined) heartbeat.freeTokens[account] = freeTokens
+  }
+
   /** Signs of life to pass on; takes turns where there are many. */
   heard (now: number): routers.gatewayMessages.HeardGateway[] {
     const live = [...this.#peers].filter(([, peer]) => this.#isLive(peer, now))
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -30,6 +30,8 @@
 
 /** What exchanging with other gateways needs. */
 export interface PeerTaskOptions {
+  /** Peer address of this gateway. */
+  selfAddress: string
   table: tables.PeerTable
   seeds: string[]
   clock: decisions.clock.Clock
@@ -38,7 +40,7 @@
   state: (request: routers.gatewayMessages.StateRequest) => routers.gatewayMessages.GatewayState
   /** What this gateway has already. */
   known: () => routers.gatewayMessages.StateRequest
-  giveTokens: (account: string, tokens: number) => Promise<routers.gatewayMessages.TokenTransferReply>
+  giveTokens: (request: routers.gatewayMessages.TokenTransferRequest) => Promise<routers.gatewayMessages.TokenTransferReply>
   /** Called with each heartbeat heard. */
   onHeartbeat: (heartbeat: Heartbeat) => void
   onState: (state: routers.gatewayMessages.GatewayState) => void
@@ -83,8 +85,10 @@
   /** Asks another gateway for tokens. Undefined where it does not answer; what it then gave away counts as spent. */
   async transfer (peerAddress: string, account: string, tokens: number): Promise<routers.gatewayMessages.TokenTransferReply | undefined> {
     try {
-      const request = { transferId: crypto.randomUUID(), account, tokens }
-      return await this.#client.call(peerAddress, 'TransferTokens', request, TRANSFER_TIMEOUT_MS)
+      const request = { transferId: crypto.randomUUID(), account, tokens, asker: this.#options.selfAddress }
+      const reply = await this.#client.call(peerAddress, 'TransferTokens', request, TRANSFER_TIMEOUT_MS)
+      this.#options.table.noteFreeTokens(peerAddress, account, reply.freeTokens)
+      return reply
     } catch (error) {
       this.#options.logger.warn({ event: 'transfer-failed', peer: peerAddress, account, tokens, reason: (error as Error).message })
       return undefined
@@ -105,7 +109,7 @@
   async #answerTransfer (request: Calls['TransferTokens']['request']): Promise<Calls['TransferTokens']['reply']> {
     const known = this.#given.get(request.transferId)
     if (known !== undefined) return await known
-    const reply = this.#options.giveTokens(request.account, request.tokens)
+    const reply = this.#options.giveTokens(request)
     this.#given.set(request.transferId, reply)
     for (const id of this.#given.keys()) {
       if (this.#given.size <= TRANSFERS_KEPT) break
--- a/packages/gateway/src/token-task.ts
+++ b/packages/gateway/src/token-task.ts
@@ -1,4 +1,5 @@
 import * as decisions from '@acaciaweir/decisions'
+import type * as routers from '@acaciaweir/routers'
 import type * as runtime from '@acaciaweir/runtime'
 import * as pages from './token-pages.js'
 
@@ -12,7 +13,7 @@
 /** Added to the interval for each gateway beyond ten, in milliseconds, so that writes of the page seldom meet. */
 const BALANCE_INTERVAL_PER_GATEWAY_MS = 40
 
-/** Time after a draw that was not enough in which waiting requests draw no more, for each gateway, in milliseconds. */
+/** Time after a draw that was not enough in which waiting requests draw no more unless the page was seen to have more, for each gateway, in milliseconds. */
 const VAIN_DRAW_PAUSE_PER_GATEWAY_MS = 20
 
 /** Changes smaller than this share of an account's total are left for later. */
@@ -78,14 +79,10 @@
   others: TokenHolder[]
 }
 
-/** Tokens that another gateway gave, and whether it knows that the budget is used up. */
-export interface Received {
-  tokens: number
-  usedUp: boolean
-}
-
 /** What keeping tokens needs. */
 export interface TokenTaskOptions {
+  /** Peer address of this gateway. */
+  selfAddress: string
   pages: pages.TokenPages
   policy: decisions.tokenPool.PoolPolicy
   clock: decisions.clock.Clock
@@ -96,7 +93,7 @@
   /** Who draws the account's tokens from the page. */
   holders: (account: string) => AccountHolders
   /** Asks another gateway for tokens. Undefined where it does not answer. */
-  transfer: (peerAddress: string, account: string, tokens: number) => Promise<Received | undefined>
+  transfer: (peerAddress: string, account: string, tokens: number) => Promise<routers.gatewayMessages.TokenTransferReply | undefined>
 }
 
 /** Reserves tokens for requests: from the pool, else from other gateways, else from the page. Owns the pool. */
@@ -105,6 +102,8 @@
   readonly #pool: decisions.tokenPool.TokenPool
   readonly #stop = new AbortController()
   readonly #replenishing = new Map<string, Promise<void>>()
+  /** Worst cases of the requests that wait for tokens, by account. */
+  readonly #waiting = new Map<string, number>()
   readonly #askedAllAt = new Map<string, number>()
   /** When the holders last said that an account's budget is used up. */
   readonly #usedUpAt = new Map<string, number>()
@@ -147,25 +146,52 @@
 
   /** Reserves tokens for a request. */
   async reserve (account: string, tokens: number): Promise<ReserveOutcome> {
+    if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
+    this.#addWaiting(account, tokens)
+    try {
+      return await this.#reserveWaiting(account, tokens)
+    } finally {
+      this.#addWaiting(account, -tokens)
+    }
+  }
+
+  async #reserveWaiting (account: string, tokens: number): Promise<ReserveOutcome> {
     for (let attempt = 0; attempt < MOST_TRIES; attempt++) {
-      if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
       if (this.#isUsedUp(account, tokens) && !this.#mayAskAll(account)) return ReserveOutcome.exhausted
       await this.#replenishOnce(account, tokens)
+      if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
     }
-    if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
     return this.#isUsedUp(account, tokens) ? ReserveOutcome.exhausted : ReserveOutcome.unreachable
   }
 
+  #addWaiting (account: string, tokens: number): void {
+    this.#waiting.set(account, (this.#waiting.get(account) ?? 0) + tokens)
+  }
+
+  /** Tokens that the pool lacks for all requests that wait for it. */
+  #lacking (account: string): number {
+    return (this.#waiting.get(account) ?? 0) - this.#pool.free(account)
+  }
+
   settle (account: string, reservedTokens: number, spentTokens: number): void {
     this.#pool.settle(account, reservedTokens, spentTokens, this.#seconds())
   }
 
   /** Gives free tokens to another gateway. Draws them first where this gateway draws for others. */
-  async giveAway (account: string, tokens: number): Promise<Received> {
+  async giveAway ({ account, tokens, asker }: routers.gatewayMessages.TokenTransferRequest): Promise<routers.gatewayMessages.TokenTransferReply> {
     const { role } = this.#options.holders(account)
+    if (role === TokenRole.peer) return { tokens: this.#goesBefore(account, asker) ? 0 : this.#pool.take(account, tokens), usedUp: false, freeTokens: this.#pool.free(account) }
     if (role === TokenRole.holder && this.#pool.free(account) < tokens) await this.#draw(account, tokens)
-    const given = role === TokenRole.peer ? this.#pool.take(account, tokens) : this.#pool.give(account, tokens, this.#seconds())
-    return { tokens: given, usedUp: role === TokenRole.holder && given < tokens && this.#isUsedUp(account, tokens - given) }
+    const given = this.#pool.give(account, tokens, this.#seconds())
+    const usedUp = role === TokenRole.holder && given < tokens && this.#isUsedUp(account, tokens - given)
+    return { tokens: given, usedUp, freeTokens: this.#pool.free(account) }
+  }
+
+  /** Whether this gateway keeps its tokens for its own waiting requests. Two that both lack some would only swap what they hold. */
+  #goesBefore (account: string, asker: string): boolean {
+    if (this.#lacking(account) <= 0) return false
+    const { selfAddress } = this.#options
+    return decisions.hashing.rendezvousOrder([selfAddress, asker], account, (address) => address)[0] === selfAddress
   }
 
   /** Returns all free tokens to the page. */
@@ -227,17 +253,18 @@
       await this.#borrow(account, tokens, others)
       return
     }
-    const found = role === TokenRole.peer && await this.#collect(account, tokens - this.#pool.free(account), others)
+    const found = role === TokenRole.peer && await this.#collect(account, this.#lacking(account), others)
     if (!found) await this.#draw(account, tokens)
     if (role === TokenRole.holder && this.#pool.free(account) < tokens) await this.#borrow(account, tokens, others)
   }
 
-  /** Draws from the page so that the tokens fit, and up to the target. */
+  /** Draws from the page so that the tokens and all waiting requests fit, and up to the target. */
   async #draw (account: string, tokens: number): Promise<void> {
     const pauseMs = this.#options.gateways() * VAIN_DRAW_PAUSE_PER_GATEWAY_MS
     const sinceVainMs = this.#options.clock.now() - (this.#drawnInVainAt.get(account) ?? -Infinity)
-    if (this.#options.pages.isPaused() || sinceVainMs < pauseMs) return
-    const drawn = this.#options.pages.ask(new Map([[account, Math.max(tokens - this.#pool.free(account), this.#target(account))]]))
+    const isVain = sinceVainMs < pauseMs && this.#options.pages.remaining(account) < tokens - this.#pool.free(account)
+    if (this.#options.pages.isPaused() || isVain) return
+    const drawn = this.#options.pages.ask(new Map([[account, Math.max(tokens - this.#pool.free(account), this.#lacking(account), this.#target(account))]]))
     await Promise.race([drawn, this.#options.clock.sleep(PAGE_WAIT_MS)])
     if (this.#pool.free(account) < tokens) this.#drawnInVainAt.set(account, this.#options.clock.now())
   }
--- a/packages/gateway/test/budget-load.test.ts
+++ b/packages/gateway/test/budget-load.test.ts
@@ -108,6 +108,7 @@
       onTokens: (account, tokens) => { pool.add(account, tokens) }
     })
     const task = new tokenTasks.TokenTask(pool, {
+      selfAddress: String(index),
       policy: this.#policy,
       pages,
       clock,
@@ -115,7 +116,7 @@
       totals,
       gateways: () => this.#gateways,
       holders: (account) => this.#holdersFor(account, index),
-      transfer: async (peerAddress, account, tokens) => await this.#holders[Number(peerAddress)].task.giveAway(account, tokens)
+      transfer: async (peerAddress, account, tokens) => await this.#holders[Number(peerAddress)].task.giveAway({ transferId: '', account, tokens, asker: String(index) })
     })
     return { pool, task }
   }
--- a/packages/gateway/test/budgets.test.ts
+++ b/packages/gateway/test/budgets.test.ts
@@ -52,6 +52,16 @@
     })
   }
 
+  it('are told as used up by a gateway that last heard of tokens which are spent by now', async () => {
+    expect(await spend(fleet, 100)).to.equal(100)
+    await new Promise<void>((resolve) => { setTimeout(resolve, 400) })
+    const last = await Promise.all(Array.from({ length: 10 }, async () => await fleet.callModel(0, '/plan/1', 190, 10)))
+    const others = [await fleet.callModel(1, '/plan/1', 190, 10), await fleet.callModel(2, '/plan/1', 190, 10)]
+    const refusals = [...last, ...others].map((answer) => answer.status).filter((status) => status !== 200)
+    expect(refusals.length).to.be.greaterThan(2)
+    expect([...new Set(refusals)]).to.deep.equal([402])
+  })
+
   it('are not overspent after all gateways died at once', async () => {
     await spend(fleet, 40)
     for (const gateway of fleet.gateways) gateway.stopNow()
--- a/packages/routers/src/gateway-messages.ts
+++ b/packages/routers/src/gateway-messages.ts
@@ -47,6 +47,8 @@
   transferId: string
   account: string
   tokens: number
+  /** Peer address of the gateway that asks. */
+  asker: string
 }
 
 /** Tokens that have left the asked gateway's pool. */
@@ -54,6 +56,8 @@
   tokens: number
   /** The asked gateway knows from a fresh page that the budget is used up. */
   usedUp: boolean
+  /** What the asked gateway still holds. */
+  freeTokens: number
 }
 
 /** Names what the sender has already. */
