--- a/packages/proving/src/experiment-main.ts
+++ b/packages/proving/src/experiment-main.ts
@@ -1,6 +1,7 @@
 import * as commander from 'commander'
 import * as latency from './latency-experiment.js'
 import * as footprint from './footprint-experiment.js'
+import * as gateways from './gateway-experiment.js'
 import * as routing from './routing-experiment.js'
 
 const program = new commander.Command('experiment')
@@ -33,6 +34,14 @@
   .option('--seconds <seconds>', 'length of each policy\'s run', Number, 10)
   .action(async (options: routing.RoutingOptions) => { print(await routing.measureRouting(options)) })
 
+program.command('gateways')
+  .description('processor time, memory and store calls of gateways against the size of the fleet')
+  .option('--gateways <counts>', 'fleet sizes, separated by commas', '2,8,40')
+  .option('--seconds <seconds>', 'length of each measurement', Number, 10)
+  .option('--rest <seconds>', 'time before each measurement', Number, 5)
+  .option('--load', 'send requests meanwhile', false)
+  .action(async (options: gateways.GatewayOptions) => { print(await gateways.measureGateways(options)) })
+
 await program.parseAsync()
 process.exit()
 
--- a/packages/proving/src/soak-fleet.ts
+++ b/packages/proving/src/soak-fleet.ts
@@ -31,6 +31,11 @@
     return `127.0.0.1:${this.settings.callerPort}`
   }
 
+  get pid (): number {
+    if (this.#process?.pid === undefined) throw new Error(`${this.name} does not run`)
+    return this.#process.pid
+  }
+
   /** The process was told to end, or is paused; its answers prove nothing about promises to callers in touch. */
   get disturbed (): boolean {
     return this.#stopping || this.paused
--- a/packages/stand-ins/src/published-store.ts
+++ b/packages/stand-ins/src/published-store.ts
@@ -42,6 +42,8 @@
   #oldestRevision = 1
   fault: StoreFault = StoreFault.none
   writes = 0
+  /** Calls taken, each watch as one. */
+  calls = 0
 
   async listen (): Promise<string> {
     return `127.0.0.1:${await this.#server.listen(0, '127.0.0.1')}`
@@ -81,6 +83,7 @@
   }
 
   async #answer (message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    this.calls += 1
     const body = await runtime.httpCall.readBody(message)
     if (this.fault === StoreFault.silent) return
     if (this.fault === StoreFault.reset) { message.socket.resetAndDestroy(); return }
