Make no store call for an account of which the page has nothing

Near the end of a budget each waiting request and each balance wrote the page without changing it; the log shows drawn pages with no account in them. Ruled out: watches woken by servers renewing their entries (they do not), lists. Change: a change that would leave the page as it is makes no call where the page was read within 600 ms, else one read. Test: token-pages.test.ts, seen to fail without.

--- a/packages/gateway/src/token-pages.ts
+++ b/packages/gateway/src/token-pages.ts
@@ -13,6 +13,9 @@
 /** Added to that for each gateway beyond ten, in milliseconds, so that a large fleet does not storm a store in trouble. */
 const FAILURE_PAUSE_PER_GATEWAY_MS = 40
 
+/** Age up to which the page shows without a call that it has nothing for an account, in milliseconds. What others return is found that late. */
+const VAIN_AGE_MS = 600
+
 /** Name of the page that holds all accounts. */
 const PAGE_NAME = 'prepaid'
 
@@ -92,6 +95,11 @@
     const returned = new Map([...wanted].filter(([, tokens]) => tokens < 0))
     for (let attempt = 0; attempt < MOST_TRIES && !this.isPaused(); attempt++) {
       if (this.#revision === undefined && !await this.#read()) break
+      if (this.#isVain(wanted)) {
+        if (this.ageMs() <= VAIN_AGE_MS) return PageResult.changed
+        if (!await this.#read()) break
+        if (this.#isVain(wanted)) return PageResult.changed
+      }
       const outcome = await this.#write(wanted, returned)
       if (outcome === 'done') return PageResult.changed
       if (outcome === 'lost') return PageResult.unreachable
@@ -101,6 +109,12 @@
     return PageResult.unreachable
   }
 
+  /** Whether a change would leave the page as it is. */
+  #isVain (wanted: Map<string, number>): boolean {
+    const page = this.#withTotals(this.#page)
+    return page.version === this.#page.version && decisions.tokenPage.change(page, this.#options.incarnation, 0, wanted).applied.size === 0
+  }
+
   async #write (wanted: Map<string, number>, returned: Map<string, number>): Promise<'done' | 'again' | 'lost' | 'unreachable'> {
     const baseRevision = this.#revision ?? 0
     this.#changeNumber += 1
--- a/packages/gateway/test/one-page-store.ts
+++ b/packages/gateway/test/one-page-store.ts
@@ -12,6 +12,7 @@
   page: StoreObject | undefined
   /** Turns all calls away. */
   down = false
+  calls = 0
   readonly #fates: Fate[]
   readonly #late: Array<() => void> = []
   #revision = 0
@@ -22,6 +23,7 @@
   }
 
   override async read (): Promise<Outcome<StoreObject>> {
+    this.calls += 1
     if (this.down) return { status: 'refused', step: 'read', reason: 'down' }
     return this.page === undefined ? { status: 'missing', step: 'read', reason: '' } : { status: 'done', result: this.page }
   }
@@ -39,6 +41,7 @@
   override async remove (): Promise<never> { throw new Error('not used') }
 
   #write (holds: () => boolean, name: string, value: unknown): Outcome<StoreObject> {
+    this.calls += 1
     const fate = this.down ? Fate.refused : this.#fates.shift() ?? Fate.done
     const apply = (): boolean => {
       if (!holds()) return false
--- a/packages/gateway/test/token-pages.test.ts
+++ b/packages/gateway/test/token-pages.test.ts
@@ -9,13 +9,13 @@
 
 const TOTAL = 1000
 
-function createPages (store: stores.OnePageStore, clock: stores.StepClock, incarnation: string, held: { tokens: number }): tokenPages.TokenPages {
+function createPages (store: stores.OnePageStore, clock: stores.StepClock, incarnation: string, held: { tokens: number }, totals = (): tokenPages.PrepaidTotals => ({ version: 1, totals: { depot: TOTAL } })): tokenPages.TokenPages {
   return new tokenPages.TokenPages({
     incarnation,
     store,
     clock: clock as decisions.clock.Clock,
     logger: runtime.logging.createLogger('silent'),
-    totals: () => ({ version: 1, totals: { depot: TOTAL } }),
+    totals,
     gateways: () => 3,
     onTokens: (_account, tokens) => { held.tokens += tokens }
   })
@@ -47,6 +47,30 @@
     })
   }
 
+  const usedUpCases: Array<{ name: string, afterMs: number, totalAfter: number, calls: number, held: number }> = [
+    { name: 'makes no call for an account of which the page had nothing a moment ago', afterMs: 100, totalAfter: TOTAL, calls: 0, held: TOTAL },
+    { name: 'looks again after a while, without a write', afterMs: 3000, totalAfter: TOTAL, calls: 1, held: TOTAL },
+    { name: 'draws on a raised total at once', afterMs: 100, totalAfter: TOTAL + 50, calls: 1, held: TOTAL + 50 },
+    { name: 'enters a lowered total at once', afterMs: 100, totalAfter: TOTAL - 50, calls: 1, held: TOTAL }
+  ]
+  for (const { name, afterMs, totalAfter, calls, held } of usedUpCases) {
+    it(name, async () => {
+      const store = new stores.OnePageStore()
+      const clock = new stores.StepClock()
+      const own = { tokens: 0 }
+      const agreement = { version: 1, totals: { depot: TOTAL } }
+      const pages = createPages(store, clock, 'gateway-1', own, () => agreement)
+      await pages.ask(new Map([['depot', TOTAL]]))
+      if (totalAfter !== TOTAL) Object.assign(agreement, { version: 2, totals: { depot: totalAfter } })
+      clock.time += afterMs
+      const before = store.calls
+      await pages.ask(new Map([['depot', 100]]))
+      expect(store.calls - before).to.equal(calls)
+      expect(own.tokens).to.equal(held)
+      expect((store.page?.value as decisions.tokenPage.TokenPage).version).to.equal(agreement.version)
+    })
+  }
+
   it('never lets routers hold more together than the page says, whichever answers are lost or late', async () => {
     const fate = fastCheck.constantFrom<stores.Fate>('done', 'done', 'refused', 'lost', 'lost-undone', 'late')
     const step = fastCheck.record({ router: fastCheck.nat(2), tokens: fastCheck.integer({ min: -200, max: 400 }) })
