Spread the writes of the token page, and gather changes before watching on

All gateways start together and balanced their pools at the same moments from then on: 244 conflicts at 19 gateways, nearly as many as writes. Each target that registers woke every watch by itself: 13 calls at each gateway, up to 84 at those that watch for the others. Ruled out: lists and reads (4 at each). Change: the pause between balances varies by half, the first too; a watch that brought changes is followed by 200 ms in which more gather.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -61,6 +61,7 @@
   readonly #logger: runtime.logging.Logger
   readonly #clock = new runtime.systemClock.SystemClock()
   readonly #incarnation: string
+  readonly #random: decisions.random.RandomSource
   readonly #store: platform.objectStore.ObjectStore
   readonly #board = new decisions.targetBoard.TargetBoard()
   readonly #pool = new decisions.tokenPool.TokenPool()
@@ -85,6 +86,7 @@
     this.#options = options
     this.#fleet = options.fleet
     this.#incarnation = `${options.fleet.host}-${crypto.randomUUID().slice(0, 8)}`
+    this.#random = new decisions.random.SeededRandom(options.seed ?? crypto.randomInt(2 ** 31))
     this.#logger = options.log.logger.child({ incarnation: this.#incarnation })
     this.#store = new adapter.storeClient.StoreClient({ address: options.fleet.storeAddress, timeoutMs: STORE_TIMEOUT_MS, logger: this.#logger })
     this.#peers = new peerTables.PeerTable(options.fleet.peerListen)
@@ -292,6 +294,7 @@
       policy: tokenTasks.POOL_POLICY,
       pages: this.#pages,
       clock: this.#clock,
+      random: this.#random,
       logger: this.#logger,
       totals: () => this.#totals(),
       gateways: () => this.#view.gateways(),
@@ -330,7 +333,7 @@
     })
     return new callerServers.CallerServer({
       clock: this.#clock,
-      random: new decisions.random.SeededRandom(this.#options.seed ?? crypto.randomInt(2 ** 31)),
+      random: this.#random,
       logger: this.#logger,
       log: new logs.DecisionLog(this.#logger, this.#clock),
       metrics: this.#metrics,
--- a/packages/gateway/src/object-watch.ts
+++ b/packages/gateway/src/object-watch.ts
@@ -5,6 +5,9 @@
 /** How long one watch waits for a change, in milliseconds. A connection that went silent is found within this time. */
 const WATCH_WAIT_MS = 2000
 
+/** Time in which changes gather before the next call, in milliseconds. Targets that register or leave together cost one call, not one each. */
+const GATHER_MS = 200
+
 /** Pause after a failed call, in milliseconds. Doubles up to the longest. */
 const FIRST_PAUSE_MS = 50
 const LONGEST_PAUSE_MS = 1000
@@ -24,6 +27,8 @@
   readonly #options: ObjectWatchOptions
   readonly #stop = new AbortController()
   #revision: number | undefined
+  /** The last call brought changes. */
+  #hasChanged = false
   #connected = false
   #lostAt = -Infinity
   #heardAt = -Infinity
@@ -65,6 +70,7 @@
       const failure = this.#revision === undefined ? await this.#list() : await this.#watch(this.#revision)
       if (failure === undefined) {
         this.#reached()
+        if (this.#hasChanged) await this.#options.clock.sleep(GATHER_MS, this.#stop.signal)
         continue
       }
       if (failure.status === 'history-gone') {
@@ -91,6 +97,7 @@
     const outcome = await this.#options.store.list(this.#options.kind)
     if (outcome.status !== 'done') return outcome
     this.#revision = outcome.result.revision
+    this.#hasChanged = false
     this.useList(outcome.result.objects, outcome.result.revision, !this.#connected && this.#lostAt > -Infinity)
     return undefined
   }
@@ -99,7 +106,8 @@
     const outcome = await this.#options.store.watch(this.#options.kind, revision, WATCH_WAIT_MS)
     if (outcome.status !== 'done') return outcome
     this.#revision = Math.max(revision, outcome.result.revision)
-    if (outcome.result.events.length > 0) this.useEvents(outcome.result.events, this.#revision)
+    this.#hasChanged = outcome.result.events.length > 0
+    if (this.#hasChanged) this.useEvents(outcome.result.events, this.#revision)
     return undefined
   }
 
--- a/packages/gateway/src/token-task.ts
+++ b/packages/gateway/src/token-task.ts
@@ -10,6 +10,9 @@
 /** Interval at which the pool is brought back to its target, in milliseconds, for a fleet of up to ten gateways. */
 const BALANCE_INTERVAL_MS = 1500
 
+/** Share of the interval by which it varies to either side. Gateways that started together would go on writing the page together. */
+const BALANCE_SPREAD = 0.5
+
 /** Added to the interval for each gateway beyond ten, in milliseconds, so that writes of the page seldom meet. */
 const BALANCE_INTERVAL_PER_GATEWAY_MS = 40
 
@@ -86,6 +89,7 @@
   pages: pages.TokenPages
   policy: decisions.tokenPool.PoolPolicy
   clock: decisions.clock.Clock
+  random: decisions.random.RandomSource
   logger: runtime.logging.Logger
   totals: () => pages.PrepaidTotals | undefined
   /** Live gateways, this one included. */
@@ -231,12 +235,17 @@
 
   async #run (): Promise<void> {
     while (!this.#stop.signal.aborted) {
+      await this.#options.clock.sleep(this.#nextPauseMs(), this.#stop.signal)
       await this.balance()
-      const extra = Math.max(0, this.#options.gateways() - 10) * BALANCE_INTERVAL_PER_GATEWAY_MS
-      await this.#options.clock.sleep(BALANCE_INTERVAL_MS + extra, this.#stop.signal)
     }
   }
 
+  #nextPauseMs (): number {
+    const intervalMs = BALANCE_INTERVAL_MS + Math.max(0, this.#options.gateways() - 10) * BALANCE_INTERVAL_PER_GATEWAY_MS
+    const spreadMs = intervalMs * BALANCE_SPREAD
+    return intervalMs - spreadMs + this.#options.random.integer(Math.ceil(2 * spreadMs))
+  }
+
   /** Requests that lack tokens of the same account share one search. */
   async #replenishOnce (account: string, tokens: number): Promise<void> {
     let running = this.#replenishing.get(account)
--- a/packages/gateway/test/budget-load.test.ts
+++ b/packages/gateway/test/budget-load.test.ts
@@ -112,6 +112,7 @@
       policy: this.#policy,
       pages,
       clock,
+      random: new decisions.random.SeededRandom(index),
       logger,
       totals,
       gateways: () => this.#gateways,
