Let eight gateways of a large fleet draw tokens, and the others return to them

After an outage 954 of 1053 writes at 19 gateways met a conflict. Change: one set of eight holders, from all zones in turn, for all accounts; borrowers return what they do not need to a holder. A gateway that leaves while the store turns writes away gives its tokens to another one; before, they were lost. Tests: tokens.test.ts (holders), budgets.test.ts (leaving with the store out).

--- a/packages/decisions/test/tokens.test.ts
+++ b/packages/decisions/test/tokens.test.ts
@@ -1,4 +1,5 @@
 import * as chai from 'chai'
+import * as tokenHolders from '../src/token-holders.js'
 import * as tokenPage from '../src/token-page.js'
 import * as tokenPool from '../src/token-pool.js'
 
@@ -94,3 +95,31 @@
     })
   }
 })
+
+describe('the holders of tokens', () => {
+  const fleetOf = (size: number, zones: number): tokenHolders.HolderCandidate[] =>
+    Array.from({ length: size }, (_value, index) => ({ name: `router-${index}`, availabilityZone: `zone-${index % zones}` }))
+  const cases: Array<{ name: string, size: number, zones: number, holders: number, leastInZone: number }> = [
+    { name: 'are all routers of a small fleet', size: 12, zones: 3, holders: 12, leastInZone: 4 },
+    { name: 'are a few routers of a large fleet, in all zones', size: 70, zones: 3, holders: 8, leastInZone: 2 },
+    { name: 'are in all zones where there are many', size: 300, zones: 6, holders: 8, leastInZone: 1 },
+    { name: 'are as few where there is one zone', size: 13, zones: 1, holders: 8, leastInZone: 8 }
+  ]
+  for (const { name, size, zones, holders, leastInZone } of cases) {
+    it(name, () => {
+      const fleet = fleetOf(size, zones)
+      const { names, everyone } = tokenHolders.tokenHolders('router-0', fleet)
+      const inZones = Array.from({ length: zones }, (_value, zone) => names.filter((holder) => fleet.find((router) => router.name === holder)?.availabilityZone === `zone-${zone}`).length)
+      expect(names.length).to.equal(holders)
+      expect(everyone).to.equal(holders === size)
+      expect(Math.min(...inZones)).to.be.at.least(leastInZone)
+    })
+  }
+
+  it('are the same for all routers, and asked in different orders', () => {
+    const fleet = fleetOf(70, 3)
+    const views = fleet.map((router) => tokenHolders.tokenHolders(router.name, [...fleet].reverse()).names)
+    expect(new Set(views.map((names) => [...names].sort().join())).size).to.equal(1)
+    expect(new Set(views.map((names) => names[0])).size).to.equal(8)
+  })
+})
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -299,7 +299,8 @@
       totals: () => this.#totals(),
       gateways: () => this.#view.gateways(),
       holders: (account) => this.#view.holders(account),
-      transfer: async (peerAddress, account, tokens) => await this.#peerTask.transfer(peerAddress, account, tokens)
+      transfer: async (peerAddress, account, tokens) => await this.#peerTask.transfer(peerAddress, account, tokens),
+      returnTokens: async (peerAddress, account, tokens) => { await this.#peerTask.returnTokens(peerAddress, account, tokens) }
     })
   }
 
@@ -314,6 +315,7 @@
       state: (known) => this.#state(known),
       known: () => this.#known(),
       giveTokens: async (request) => await this.#tokens.giveAway(request),
+      takeTokens: (account, tokens) => { this.#pool.add(account, tokens) },
       onHeartbeat: (heartbeat) => { this.#hear(heartbeat) },
       onState: (state) => { this.#useState(state) }
     })
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -23,6 +23,9 @@
 /** Longest wait for tokens of another gateway, in milliseconds. A request waits for it, and the other may draw them first. */
 const TRANSFER_TIMEOUT_MS = 150
 
+/** Tries to give tokens to another gateway. */
+const RETURN_TRIES = 3
+
 /** Longest wait for another gateway's agreement and targets, in milliseconds. */
 const STATE_TIMEOUT_MS = 1500
 
@@ -42,6 +45,7 @@
   /** What this gateway has already. */
   known: () => routers.gatewayMessages.StateRequest
   giveTokens: (request: routers.gatewayMessages.TokenTransferRequest) => Promise<routers.gatewayMessages.TokenTransferReply>
+  takeTokens: (account: string, tokens: number) => void
   /** Called with each heartbeat heard. */
   onHeartbeat: (heartbeat: Heartbeat) => void
   onState: (state: routers.gatewayMessages.GatewayState) => void
@@ -54,6 +58,8 @@
   readonly #server: routers.peerServer.PeerServer<Calls>
   readonly #heartbeats: routers.heartbeatSocket.HeartbeatSocket
   readonly #stop = new AbortController()
+  /** Transfers whose tokens were taken in. */
+  readonly #taken = new Set<string>()
   readonly #given = new Map<string, Promise<routers.gatewayMessages.TokenTransferReply>>()
   #fetching = false
   #next = 0
@@ -107,20 +113,38 @@
     }
   }
 
+  /** Gives tokens to another gateway. Where no answer comes they count as spent, as they may have arrived. */
+  async returnTokens (peerAddress: string, account: string, tokens: number): Promise<void> {
+    const request = { transferId: crypto.randomUUID(), account, tokens }
+    for (let attempt = 0; attempt < RETURN_TRIES; attempt++) {
+      try {
+        await this.#client.call(peerAddress, 'ReturnTokens', request, TRANSFER_TIMEOUT_MS)
+        return
+      } catch (error) {
+        this.#options.logger.warn({ event: 'return-failed', peer: peerAddress, account, tokens, attempt, reason: (error as Error).message })
+      }
+    }
+  }
+
   override async answer<Name extends keyof Calls> (name: Name, request: Calls[Name]['request']): Promise<Calls[Name]['reply']> {
+    if (name === 'ReturnTokens') return this.#answerReturn(request as Calls['ReturnTokens']['request'])
     if (name === 'TransferTokens') return await this.#answerTransfer(request as Calls['TransferTokens']['request'])
     return this.#options.state(request as Calls['FetchState']['request'])
   }
 
+  #answerReturn (request: Calls['ReturnTokens']['request']): object {
+    if (!this.#taken.has(request.transferId)) this.#options.takeTokens(request.account, request.tokens)
+    this.#taken.add(request.transferId)
+    keepNewest(this.#taken)
+    return {}
+  }
+
   async #answerTransfer (request: Calls['TransferTokens']['request']): Promise<Calls['TransferTokens']['reply']> {
     const known = this.#given.get(request.transferId)
     if (known !== undefined) return await known
     const reply = this.#options.giveTokens(request)
     this.#given.set(request.transferId, reply)
-    for (const id of this.#given.keys()) {
-      if (this.#given.size <= TRANSFERS_KEPT) break
-      this.#given.delete(id)
-    }
+    keepNewest(this.#given)
     return await reply
   }
 
@@ -168,3 +192,10 @@
     }
   }
 }
+
+function keepNewest (transfers: { size: number, keys: () => Iterable<string>, delete: (id: string) => void }): void {
+  for (const id of transfers.keys()) {
+    if (transfers.size <= TRANSFERS_KEPT) break
+    transfers.delete(id)
+  }
+}
--- a/packages/gateway/src/token-task.ts
+++ b/packages/gateway/src/token-task.ts
@@ -98,6 +98,8 @@
   holders: (account: string) => AccountHolders
   /** Asks another gateway for tokens. Undefined where it does not answer. */
   transfer: (peerAddress: string, account: string, tokens: number) => Promise<routers.gatewayMessages.TokenTransferReply | undefined>
+  /** Gives tokens to another gateway. */
+  returnTokens: (peerAddress: string, account: string, tokens: number) => Promise<void>
 }
 
 /** Reserves tokens for requests: from the pool, else from other gateways, else from the page. Owns the pool. */
@@ -209,6 +211,15 @@
     if (changes.size === 0) return
     const result = await this.#options.pages.ask(changes)
     this.#options.logger.info({ event: 'tokens-handed-back', result, accounts: changes.size })
+    if (result === pages.PageResult.unreachable) await Promise.all([...changes.keys()].map(async (account) => { await this.#returnTo(account, Infinity) }))
+  }
+
+  /** Gives free tokens to a gateway that draws for others, or to any other in a small fleet. */
+  async #returnTo (account: string, tokens: number): Promise<void> {
+    const [first] = this.#options.holders(account).others
+    if (first === undefined) return
+    const returned = this.#pool.take(account, tokens)
+    if (returned > 0) await this.#options.returnTokens(first.peerAddress, account, returned)
   }
 
   /** Brings all pools back to their targets where one is far from its own: draws what is lacking and returns what is idle. */
@@ -218,15 +229,20 @@
     if (this.#options.pages.ageMs() === Infinity && await this.#options.pages.ask(new Map()) === pages.PageResult.unreachable) return
     const changes = new Map<string, number>()
     let isDue = false
+    let isBorrower = false
     for (const [account, total] of Object.entries(totals.totals)) {
       const target = this.#target(account)
       const wanted = target - this.#pool.free(account)
-      const { role } = this.#options.holders(account)
-      if (Math.abs(wanted) < total * (role === TokenRole.borrower ? SMALLEST_RETURN_SHARE : SMALLEST_CHANGE_SHARE)) continue
+      isBorrower = this.#options.holders(account).role === TokenRole.borrower
+      if (Math.abs(wanted) < total * (isBorrower ? SMALLEST_RETURN_SHARE : SMALLEST_CHANGE_SHARE)) continue
       changes.set(account, wanted)
       isDue ||= this.#pool.isOffTarget(account, target)
     }
     if (!isDue) return
+    if (isBorrower) {
+      await Promise.all([...changes].map(async ([account, wanted]) => { await this.#returnTo(account, -wanted) }))
+      return
+    }
     for (const [account, wanted] of changes) {
       if (wanted < 0) changes.set(account, -this.#pool.take(account, -wanted))
     }
--- a/packages/gateway/test/budget-load.test.ts
+++ b/packages/gateway/test/budget-load.test.ts
@@ -85,7 +85,7 @@
   }
 
   #holdersFor (account: string, index: number): tokenTasks.AccountHolders {
-    const { names, everyone } = decisions.tokenHolders.tokenHolders(account, String(index), Array.from({ length: this.#gateways }, (_value, position) => String(position)))
+    const { names, everyone } = decisions.tokenHolders.tokenHolders(String(index), Array.from({ length: this.#gateways }, (_value, position) => ({ name: String(position), availabilityZone: String(position % 3) })))
     const own = names.includes(String(index))
     return {
       role: everyone ? tokenTasks.TokenRole.peer : own ? tokenTasks.TokenRole.holder : tokenTasks.TokenRole.borrower,
@@ -117,7 +117,8 @@
       totals,
       gateways: () => this.#gateways,
       holders: (account) => this.#holdersFor(account, index),
-      transfer: async (peerAddress, account, tokens) => await this.#holders[Number(peerAddress)].task.giveAway({ transferId: '', account, tokens, asker: String(index) })
+      transfer: async (peerAddress, account, tokens) => await this.#holders[Number(peerAddress)].task.giveAway({ transferId: '', account, tokens, asker: String(index) }),
+      returnTokens: async (peerAddress, account, tokens) => { this.#holders[Number(peerAddress)].pool.add(account, tokens) }
     })
     return { pool, task }
   }
--- a/packages/gateway/test/budgets.test.ts
+++ b/packages/gateway/test/budgets.test.ts
@@ -93,6 +93,16 @@
     expect(fleet.platform.served(ACCOUNT.name)).to.be.within(ACCOUNT.prepaid * 0.95, ACCOUNT.prepaid)
   })
 
+  it('go to another gateway where one leaves while the store is out', async () => {
+    await spend(fleet, 60)
+    await new Promise<void>((resolve) => { setTimeout(resolve, 2500) })
+    const drawn = (fleet.store.read('acaciaweir-token-pages', 'prepaid') as { drawn: Record<string, number> }).drawn.depot
+    fleet.store.fault = StoreFault.busy
+    for (const leaving of [1, 2]) await fleet.gateways[leaving].shutDown()
+    await spend(fleet, 100, 1)
+    expect(fleet.platform.served(ACCOUNT.name)).to.be.within(drawn - REQUEST_TOKENS, drawn)
+  })
+
   it('leave a page that cannot be read as it is, and refuse', async () => {
     fleet.store.put('acaciaweir-token-pages', 'prepaid', { spoilt: true })
     await spend(fleet, 150)
--- a/packages/routers/src/gateway-messages.ts
+++ b/packages/routers/src/gateway-messages.ts
@@ -64,6 +64,13 @@
   freeTokens: number
 }
 
+/** Tokens that have left the sender's pool for the receiver's. */
+export interface TokenReturn {
+  transferId: string
+  account: string
+  tokens: number
+}
+
 /** Names what the sender has already. */
 export interface StateRequest {
   agreementVersion: number
@@ -80,5 +87,6 @@
 /** Requests and replies of all calls between gateways. */
 export interface GatewayCalls {
   TransferTokens: { request: TokenTransferRequest, reply: TokenTransferReply }
+  ReturnTokens: { request: TokenReturn, reply: object }
   FetchState: { request: StateRequest, reply: GatewayState }
 }
