Reach the store through one client, by the published protocol

The router and the command line spoke a protocol of their own with the stand-in platform. They now use the adapter's store client: KeyedStore maps the keys of journals, ledgers and configuration to kinds and names, conditions to revisions and the watch of one object to the watch of its kind. Removal is conditional on the revision now.

--- a/packages/command-line/src/program.ts
+++ b/packages/command-line/src/program.ts
@@ -1,6 +1,8 @@
 import * as decisions from '@acaciaweir/decisions'
 import * as operators from '@acaciaweir/operators'
 import * as platform from '@acaciaweir/platform'
+import * as adapter from '@acaciaweir/platform-adapter'
+import * as runtime from '@acaciaweir/runtime'
 import * as commander from 'commander'
 import * as crypto from 'node:crypto'
 import * as exits from './exit-codes.js'
@@ -130,7 +132,7 @@
     throw new exits.CommandError('--platform-address (ACACIAWEIR_PLATFORM_ADDRESS) is missing', exits.ExitCode.badInput)
   }
   const timeoutMs = wholeNumber('--platform-timeout-ms', options.platformTimeoutMs)
-  return new platform.httpPlatformClient.HttpPlatformClient({ address: options.platformAddress, timeoutMs })
+  return adapter.keyedStoreAt.keyedStoreAt(options.platformAddress, timeoutMs, runtime.logging.createLogger('warn'))
 }
 
 function storeOf (program: commander.Command): operators.configurationStore.ConfigurationStore {
--- a/packages/command-line/test/program.test.ts
+++ b/packages/command-line/test/program.test.ts
@@ -26,15 +26,15 @@
 ]
 
 describe('command line', () => {
-  let server: standIns.platformServer.PlatformServer
+  let server: standIns.publishedStore.PublishedStore
   let address: string
   let folder: string
   const write = process.stdout.write.bind(process.stdout)
   const writeError = process.stderr.write.bind(process.stderr)
 
   beforeEach(async () => {
-    server = new standIns.platformServer.PlatformServer(1)
-    address = `http://127.0.0.1:${await server.listen(0, '127.0.0.1')}`
+    server = new standIns.publishedStore.PublishedStore()
+    address = `http://${await server.listen()}`
     folder = fs.mkdtempSync(path.join(os.tmpdir(), 'acaciaweir-'))
     fs.writeFileSync(path.join(folder, 'bad.json'), JSON.stringify({ name: 'bad', clientAccounts: [], budgets: [{ id: 'b', totalTokens: -1, members: [] }], targets: [], surprise: 1 }))
   })
@@ -66,15 +66,15 @@
 
   it('settles a lost answer by reading, and applies the change once', async () => {
     await run(`apply ${example} --expect 0`)
-    server.store.faults.lostAnswerShare = 0.6
+    server.faultSwitch.faults.lostAnswerShare = 0.6
     chai.expect(await run('top-up routes 500')).to.equal(0)
-    server.store.faults.lostAnswerShare = 0
-    const head = server.store.read('configuration/head')?.value as { generation: number }
+    server.faultSwitch.faults.lostAnswerShare = 0
+    const head = server.read('acaciaweir-configuration', 'head') as { generation: number }
     chai.expect(head.generation).to.equal(2)
   })
 
   it('says that the platform is unreachable', async () => {
-    server.store.faults.down = true
+    server.faultSwitch.faults.down = true
     chai.expect(await run('show')).to.equal(4)
   })
 })
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,5 +1,5 @@
 export * as platformClient from './platform-client.js'
-export * as httpPlatformClient from './http-platform-client.js'
+export * as keyedStore from './keyed-store.js'
 export * as conditionalUpdate from './conditional-update.js'
 export * as objectKeys from './object-keys.js'
 export * as objectStore from './object-store.js'
--- a/packages/platform/src/object-store.ts
+++ b/packages/platform/src/object-store.ts
@@ -72,5 +72,6 @@
   abstract create (kind: string, name: string, value: unknown): Promise<StoreOutcome<StoreObject>>
   /** Replaces an object that still has the given revision. */
   abstract replace (kind: string, name: string, value: unknown, revision: number): Promise<StoreOutcome<StoreObject>>
-  abstract remove (kind: string, name: string): Promise<StoreOutcome<undefined>>
+  /** Removes an object that still has the given revision. */
+  abstract remove (kind: string, name: string, revision: number): Promise<StoreOutcome<undefined>>
 }
--- a/packages/platform/src/platform-client.ts
+++ b/packages/platform/src/platform-client.ts
@@ -41,12 +41,12 @@
 }
 
 /** Counts of calls by kind, since the client was made. */
-export type CallCounts = Record<'read' | 'write' | 'list' | 'watch' | 'remove' | 'hosts', number>
+export type CallCounts = Record<'read' | 'write' | 'list' | 'watch', number>
 
 /** The platform's object API, with versions, conditional updates and bounded watches. */
 export abstract class PlatformClient {
   /** Calls made, by kind. A waiting watch counts as one. */
-  readonly counts: CallCounts = { read: 0, write: 0, list: 0, watch: 0, remove: 0, hosts: 0 }
+  abstract get counts (): CallCounts
 
   /** Reads an object, or undefined where there is none. Throws PlatformUnavailable. */
   abstract read (key: string): Promise<StoredObject | undefined>
--- a/packages/proving/src/embedded-fleet.ts
+++ b/packages/proving/src/embedded-fleet.ts
@@ -1,6 +1,7 @@
 import type * as operators from '@acaciaweir/operators'
 import * as daemon from '@acaciaweir/router-daemon'
-import * as platform from '@acaciaweir/platform'
+import type * as platform from '@acaciaweir/platform'
+import * as adapter from '@acaciaweir/platform-adapter'
 import * as runtime from '@acaciaweir/runtime'
 import * as standIns from '@acaciaweir/stand-ins'
 import * as timers from 'node:timers/promises'
@@ -12,7 +13,7 @@
 export class EmbeddedFleet {
   readonly engine = new standIns.engineServer.EngineServer()
   readonly routers: daemon.router.Router[] = []
-  readonly #platform = new standIns.platformServer.PlatformServer(1)
+  readonly #platform = new standIns.publishedStore.PublishedStore()
   #client: platform.platformClient.PlatformClient | undefined
   #platformAddress = ''
   #engineAddress = ''
@@ -24,9 +25,9 @@
 
   /** Starts the stand-ins and as many routers as availability zones are named. */
   async start (availabilityZones: string[]): Promise<void> {
-    this.#platformAddress = `http://${LOOPBACK}:${await this.#platform.listen(0, LOOPBACK)}`
+    this.#platformAddress = `http://${await this.#platform.listen()}`
     this.#engineAddress = `http://${LOOPBACK}:${await this.engine.listen(0, LOOPBACK)}`
-    this.#client = new platform.httpPlatformClient.HttpPlatformClient({ address: this.#platformAddress, timeoutMs: 1000 })
+    this.#client = adapter.keyedStoreAt.keyedStoreAt(this.#platformAddress, 1000, runtime.logging.createLogger('silent'))
     for (const [index, availabilityZone] of availabilityZones.entries()) {
       const router = this.#createRouter(`host-${index + 1}`, availabilityZone)
       this.routers.push(router)
--- a/packages/router-daemon/src/router.ts
+++ b/packages/router-daemon/src/router.ts
@@ -1,6 +1,7 @@
 import * as callers from '@acaciaweir/callers'
 import * as decisions from '@acaciaweir/decisions'
-import * as platform from '@acaciaweir/platform'
+import type * as platform from '@acaciaweir/platform'
+import * as adapter from '@acaciaweir/platform-adapter'
 import * as routers from '@acaciaweir/routers'
 import * as runtime from '@acaciaweir/runtime'
 import * as crypto from 'node:crypto'
@@ -67,7 +68,7 @@
     this.#settings = settings
     this.#logger = logger
     this.#clock = new runtime.systemClock.SystemClock()
-    this.#platform = new platform.httpPlatformClient.HttpPlatformClient({ address: settings.platformAddress, timeoutMs: settings.platformTimeoutMs })
+    this.#platform = adapter.keyedStoreAt.keyedStoreAt(settings.platformAddress, settings.platformTimeoutMs, this.#logger)
     this.#directory = new directories.TargetDirectory(this.#clock, logger)
     this.#membership = new decisions.membership.Membership(settings)
     this.#configuration = this.#createConfiguration()
--- a/packages/router-daemon/test/admitted-request.test.ts
+++ b/packages/router-daemon/test/admitted-request.test.ts
@@ -39,8 +39,7 @@
 
 /** Seals the journal as another router would. */
 function sealFrom (client: fakes.FakePlatform): void {
-  const stored = client.store.read(KEY)
-  client.store.write(KEY, decisions.journal.seal(structuredClone(stored?.value) as Journal), stored?.version)
+  client.change(KEY, (value) => decisions.journal.seal(value as Journal))
 }
 
 async function problemOf (work: Promise<unknown>): Promise<string> {
--- a/packages/router-daemon/test/fakes.ts
+++ b/packages/router-daemon/test/fakes.ts
@@ -2,7 +2,6 @@
 import * as platform from '@acaciaweir/platform'
 import * as routers from '@acaciaweir/routers'
 import * as runtime from '@acaciaweir/runtime'
-import * as standIns from '@acaciaweir/stand-ins'
 import type * as incarnations from '../src/incarnation.js'
 import * as ledgers from '../src/ledger.js'
 import * as logs from '../src/record-log.js'
@@ -26,30 +25,35 @@
 
 /** Objects in memory, with a hook after each write and faults by key. */
 export class FakePlatform extends platform.platformClient.PlatformClient {
-  readonly store = new standIns.objectStore.ObjectStore(1)
+  readonly counts = { read: 0, write: 0, list: 0, watch: 0 }
+  readonly #objects = new Map<string, platform.platformClient.StoredObject>()
+  #version = 0
   /** Called after a write has taken effect; returns true where its answer is lost. */
   afterWrite: (key: string, value: unknown) => boolean = () => false
   down = false
 
   override async read (key: string): Promise<platform.platformClient.StoredObject | undefined> {
     this.#requireUp('read')
-    return structuredClone(this.store.read(key))
+    return structuredClone(this.#objects.get(key))
   }
 
   override async write (key: string, value: unknown, expectedVersion: string | undefined): Promise<platform.platformClient.WriteResult> {
     if (this.down) return { kind: 'unknown', reason: 'down' }
-    const outcome = this.store.write(key, structuredClone(value), expectedVersion)
-    if (outcome.kind === 'written' && this.afterWrite(key, value)) return { kind: 'unknown', reason: 'answer lost' }
-    return outcome
+    if (this.#objects.get(key)?.version !== expectedVersion) return { kind: 'conflict' }
+    const version = this.#nextVersion()
+    this.#objects.set(key, { key, version, value: structuredClone(value) })
+    return this.afterWrite(key, value) ? { kind: 'unknown', reason: 'answer lost' } : { kind: 'written', version }
   }
 
   override async remove (key: string, expectedVersion: string): Promise<platform.platformClient.WriteResult> {
-    return this.store.remove(key, expectedVersion)
+    if (this.#objects.get(key)?.version !== expectedVersion) return { kind: 'conflict' }
+    this.#objects.delete(key)
+    return { kind: 'written', version: this.#nextVersion() }
   }
 
   override async list (prefix: string): Promise<platform.platformClient.StoredObject[]> {
     this.#requireUp('list')
-    return structuredClone(this.store.list(prefix))
+    return structuredClone([...this.#objects.values()].filter((object) => object.key.startsWith(prefix)))
   }
 
   override async watch (key: string): Promise<platform.platformClient.StoredObject | undefined> {
@@ -60,9 +64,19 @@
     return { hosts: [], targets: [] }
   }
 
+  /** Changes an object as another router would, whatever the faults. */
+  change (key: string, decide: (value: unknown) => unknown): void {
+    this.#objects.set(key, { key, version: this.#nextVersion(), value: structuredClone(decide(this.objectAt(key))) })
+  }
+
   /** Reads an object's value for a check. */
   objectAt (key: string): unknown {
-    return this.store.read(key)?.value
+    return this.#objects.get(key)?.value
+  }
+
+  #nextVersion (): string {
+    this.#version += 1
+    return String(this.#version)
   }
 
   #requireUp (step: string): void {
--- a/packages/router-daemon/test/ledger.test.ts
+++ b/packages/router-daemon/test/ledger.test.ts
@@ -88,9 +88,7 @@
 
   it('draws nothing more once others have folded its incarnation', async () => {
     await one.ledger.reserve(request('alpha', 'r1', 100))
-    const stored = client.store.read(PAGE)
-    const folded = decisions.ledgerPage.foldIncarnation(pageOf(client), 'one', { alpha: 100 })
-    client.store.write(PAGE, folded, stored?.version)
+    client.change(PAGE, () => decisions.ledgerPage.foldIncarnation(pageOf(client), 'one', { alpha: 100 }))
     chai.expect(await one.ledger.reserve(request('alpha', 'r2', 600))).to.equal('exhausted')
     chai.expect(pageOf(client).incarnations).to.deep.equal({})
   })
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,5 +1,3 @@
-export * as objectStore from './object-store.js'
-export * as platformServer from './platform-server.js'
 export * as engineServer from './engine-server.js'
 export * as engineAnswer from './engine-answer.js'
 export * as serviceServer from './service-server.js'
--- a/packages/stand-ins/src/main.ts
+++ b/packages/stand-ins/src/main.ts
@@ -1,6 +1,6 @@
 import * as commander from 'commander'
 import * as engine from './engine-server.js'
-import * as platform from './platform-server.js'
+import * as stores from './published-store.js'
 import * as service from './service-server.js'
 
 interface Listener {
@@ -15,7 +15,10 @@
 const program = new commander.Command('acaciaweir-stand-in')
   .description('Small stand-ins for the systems around the routers; for tests and experiments only')
 
-addCommand('platform', () => new platform.PlatformServer(1))
+addCommand('platform', () => {
+  const store = new stores.PublishedStore()
+  return { listen: async (port, address) => await store.listenAt(port, address) }
+})
 addCommand('service', () => new service.ServiceServer())
 addCommand('engine', (options) => new engine.EngineServer(options))
   .option('--slots <count>', 'requests served at once', Number, engine.defaultEngineOptions.slots)
--- a/packages/stand-ins/src/published-store.ts
+++ b/packages/stand-ins/src/published-store.ts
@@ -1,6 +1,8 @@
 import * as runtime from '@acaciaweir/runtime'
 import type * as http from 'node:http'
 import type * as net from 'node:net'
+import * as timers from 'node:timers/promises'
+import * as storeFaults from './store-faults.js'
 
 /** How the store misbehaves. */
 export const StoreFault = {
@@ -32,7 +34,13 @@
 /** Objects on one page of a list. */
 const PAGE_SIZE = 500
 
-/** Stand-in of the platform's store, by its published protocol. */
+/** Where the list of hosts and targets stands. */
+const LISTED_KINDS = { hosts: 'listed-hosts', targets: 'listed-targets' } as const
+
+/** Seed of the answers that are lost by chance. */
+const LOST_ANSWERS_SEED = 1
+
+/** Stand-in of the platform's store, by its published protocol. As a process of its own it takes faults on /admin. */
 export class PublishedStore {
   readonly #kinds = new Map<string, Map<string, Stored>>()
   readonly #server = new runtime.httpServer.HttpServer(async (message, response) => { await this.#answer(message, response) })
@@ -41,12 +49,22 @@
   #revision = 1
   #oldestRevision = 1
   fault: StoreFault = StoreFault.none
-  writes = 0
-  /** Calls taken, each watch as one. */
-  calls = 0
+  readonly faultSwitch = new storeFaults.StoreFaultSwitch(LOST_ANSWERS_SEED)
+  /** Calls taken by kind, each watch as one. */
+  readonly counts = { read: 0, write: 0, list: 0, watch: 0 }
 
+  /** Listens on a free loopback port and returns the address. */
   async listen (): Promise<string> {
-    return `127.0.0.1:${await this.#server.listen(0, '127.0.0.1')}`
+    return `127.0.0.1:${await this.listenAt(0, '127.0.0.1')}`
+  }
+
+  async listenAt (port: number, address: string): Promise<number> {
+    return await this.#server.listen(port, address)
+  }
+
+  get calls (): number {
+    const { read, write, list, watch } = this.counts
+    return read + write + list + watch
   }
 
   close (): void {
@@ -83,21 +101,36 @@
   }
 
   async #answer (message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    this.calls += 1
     const body = await runtime.httpCall.readBody(message)
-    if (this.fault === StoreFault.silent) return
-    if (this.fault === StoreFault.reset) { message.socket.resetAndDestroy(); return }
-    if (this.fault === StoreFault.busy) { send(response, 503, {}); return }
     const url = new URL(message.url ?? '/', 'http://store')
     const [, root, kind, name] = url.pathname.split('/').map(decodeURIComponent)
+    if (root === 'admin') { send(response, 200, this.#administer(kind, body)); return }
+    this.counts[callKind(message, url, name)] += 1
+    const { delayMs } = this.faultSwitch.faults
+    if (delayMs > 0) await timers.setTimeout(delayMs)
+    if (this.fault === StoreFault.silent) return
+    if (this.#isDown()) { message.socket.resetAndDestroy(); return }
+    if (this.fault === StoreFault.busy) { send(response, 503, {}); return }
     if (root !== 'objects' || kind === undefined) { send(response, 404, {}); return }
     if (message.method === 'GET') { await this.#get(url, kind, name, response); return }
-    this.writes += 1
     const [status, answer] = this.#write(message.method ?? '', kind, name, body, url)
-    if (this.fault === StoreFault.loseAnswers) { message.socket.resetAndDestroy(); return }
+    if (this.fault === StoreFault.loseAnswers || this.faultSwitch.losesAnswer()) { message.socket.resetAndDestroy(); return }
     send(response, status, answer)
   }
 
+  #isDown (): boolean {
+    return this.fault === StoreFault.reset || this.faultSwitch.faults.down
+  }
+
+  #administer (command: string, body: string): object {
+    if (command === 'faults') Object.assign(this.faultSwitch.faults, JSON.parse(body))
+    if (command === 'listed') {
+      const { kind, name, leaving } = JSON.parse(body) as { kind: keyof typeof LISTED_KINDS, name: string, leaving: boolean }
+      setTimeout(() => { this.put(LISTED_KINDS[kind], name, { leaving }) }, this.faultSwitch.faults.hostListLagMs)
+    }
+    return { counts: this.counts }
+  }
+
   async #get (url: URL, kind: string, name: string | undefined, response: http.ServerResponse): Promise<void> {
     if (name !== undefined) {
       const object = this.#kind(kind).get(name)
@@ -128,6 +161,7 @@
       }
       await this.#changeOr(left)
       if (this.fault === StoreFault.silent) return
+      if (this.#isDown()) { response.socket?.destroy(); return }
     }
   }
 
@@ -179,6 +213,7 @@
   }
 
   #wake (): void {
+    if (this.faultSwitch.faults.watchGap) return
     for (const wake of [...this.#waiting]) wake()
   }
 
@@ -195,3 +230,9 @@
 function send (response: http.ServerResponse & { socket: net.Socket | null }, status: number, body: object): void {
   runtime.httpServer.sendJson(response, status, body)
 }
+
+function callKind (message: http.IncomingMessage, url: URL, name: string | undefined): 'read' | 'write' | 'list' | 'watch' {
+  if (message.method !== 'GET') return 'write'
+  if (name !== undefined) return 'read'
+  return url.searchParams.has('Watch') ? 'watch' : 'list'
+}
