Spread the holders of tokens over the 24 strongest gateways

Change: each account has six holders of its own again, but among 24 gateways only, the strongest of each zone in turn. Gateways tell their share of a core. The sum of the others' work is made every 50 ms, not at each heartbeat.

--- a/packages/decisions/src/token-holders.ts
+++ b/packages/decisions/src/token-holders.ts
@@ -3,16 +3,21 @@
 /** Largest fleet in which every router draws from the page for itself. */
 const SMALL_FLEET = 12
 
-/** Routers that draw tokens from the page for a larger fleet. Writes of as many seldom meet on the page. */
-const HOLDERS = 8
+/** Routers of a larger fleet that draw tokens from the page. Writes of as many seldom meet on the page. */
+const DRAWING_ROUTERS = 24
 
-/** Key under which routers are ordered as holders. */
-const HOLDERS_KEY = 'token-holders'
+/** Those among them that draw an account's tokens. */
+const HOLDERS_AN_ACCOUNT = 6
+
+/** Key under which routers are ordered. */
+const ORDER_KEY = 'token-holders'
 
 /** A router that may draw tokens. */
 export interface HolderCandidate {
   name: string
   availabilityZone: string
+  /** Processor time that it may use, as a share of one core. */
+  processorShare: number
 }
 
 /** Routers that draw tokens. */
@@ -24,23 +29,25 @@
 }
 
 /**
- * Chooses who draws tokens from the page, from all availability zones in turn. Answers large fleets: an even split over
- * all routers would leave each with less than one large request, and every router would write the page.
+ * Chooses who draws an account's tokens from the page. Answers large fleets: an even split over all routers would leave
+ * each with less than one large request, and every router would write the page. The strongest routers of all
+ * availability zones draw, as most requests of the others ask them.
  */
-export function tokenHolders (self: string, routers: readonly HolderCandidate[]): TokenHolders {
+export function tokenHolders (account: string, self: string, routers: readonly HolderCandidate[]): TokenHolders {
   if (routers.length <= SMALL_FLEET) return { names: routers.map((router) => router.name), everyone: true }
-  const names = zonesInTurn(hashing.rendezvousOrder(routers, HOLDERS_KEY, (router) => router.name)).slice(0, HOLDERS)
+  const names = hashing.rendezvousOrder(drawingRouters(routers), account, (name) => name).slice(0, HOLDERS_AN_ACCOUNT)
   const first = hashing.hashText(self) % names.length
   return { names: [...names.slice(first), ...names.slice(0, first)], everyone: false }
 }
 
-/** The first router of each zone, then the second of each, and so on. */
-function zonesInTurn (routers: readonly HolderCandidate[]): string[] {
+/** The strongest router of each zone, then the second of each, and so on. */
+function drawingRouters (routers: readonly HolderCandidate[]): string[] {
   const seen = new Map<string, number>()
-  const ranked = routers.map(({ name, availabilityZone }) => {
-    const round = seen.get(availabilityZone) ?? 0
-    seen.set(availabilityZone, round + 1)
-    return { name, round }
+  const strongestFirst = hashing.rendezvousOrder(routers, ORDER_KEY, (router) => router.name).sort((left, right) => right.processorShare - left.processorShare)
+  const ranked = strongestFirst.map(({ name, availabilityZone }) => {
+    const rank = seen.get(availabilityZone) ?? 0
+    seen.set(availabilityZone, rank + 1)
+    return { name, rank }
   })
-  return ranked.sort((left, right) => left.round - right.round).map(({ name }) => name)
+  return ranked.sort((left, right) => left.rank - right.rank).slice(0, DRAWING_ROUTERS).map(({ name }) => name)
 }
--- a/packages/gateway/src/fleet-view.ts
+++ b/packages/gateway/src/fleet-view.ts
@@ -3,26 +3,23 @@
 import type * as peerTables from './peer-table.js'
 import * as tokenTasks from './token-task.js'
 
-/** Time for which the chosen holders are kept, in milliseconds: that between two rounds of heartbeats. */
+/** Time for which the chosen holders of an account are kept, in milliseconds: that between two rounds of heartbeats. */
 const CHOSEN_FOR_MS = 300
 
 interface ChosenHolders {
   chosenAt: number
-  role: tokenTasks.TokenRole
-  others: routers.gatewayMessages.GatewayHeartbeat[]
+  holders: tokenTasks.AccountHolders
 }
 
 /** What this gateway can tell of the fleet from the heartbeats that it heard. */
 export class FleetView {
-  readonly #host: string
-  readonly #availabilityZone: string
+  readonly #self: decisions.tokenHolders.HolderCandidate
   readonly #peers: peerTables.PeerTable
   readonly #clock: decisions.clock.Clock
-  #largeFleet: ChosenHolders | undefined
+  readonly #holders = new Map<string, ChosenHolders>()
 
-  constructor (host: string, availabilityZone: string, peers: peerTables.PeerTable, clock: decisions.clock.Clock) {
-    this.#host = host
-    this.#availabilityZone = availabilityZone
+  constructor (self: decisions.tokenHolders.HolderCandidate, peers: peerTables.PeerTable, clock: decisions.clock.Clock) {
+    this.#self = self
     this.#peers = peers
     this.#clock = clock
   }
@@ -40,40 +37,35 @@
   /** Whether this gateway has to watch the store itself. */
   hasWatchDuty (): boolean {
     const others = this.#live().map(({ sender }) => ({ name: sender.host, availabilityZone: sender.availabilityZone, storeSilenceMs: sender.storeSilenceMs }))
-    return decisions.watchDuty.hasWatchDuty({ name: this.#host, availabilityZone: this.#availabilityZone, storeSilenceMs: 0 }, others)
+    return decisions.watchDuty.hasWatchDuty({ ...this.#self, storeSilenceMs: 0 }, others)
   }
 
-  /** Who draws an account's tokens. */
+  /** Who draws an account's tokens. In a large fleet chosen anew only now and then, as ordering it takes a while. */
   holders (account: string): tokenTasks.AccountHolders {
-    const { role, others } = this.#holdersNow()
-    const isTold = role === tokenTasks.TokenRole.peer
+    const now = this.#clock.now()
+    const known = this.#holders.get(account)
+    if (known !== undefined && now - known.chosenAt < CHOSEN_FOR_MS) return known.holders
+    const holders = this.#chooseHolders(account)
+    if (holders.role === tokenTasks.TokenRole.peer) this.#holders.clear()
+    else this.#holders.set(account, { chosenAt: now, holders })
+    return holders
+  }
+
+  #chooseHolders (account: string): tokenTasks.AccountHolders {
+    const byHost = new Map(this.#live().filter(({ sender }) => !sender.leaving).map((heartbeat) => [heartbeat.sender.host, heartbeat]))
+    const candidates = [...byHost.values()].map(({ sender }) => ({ name: sender.host, availabilityZone: sender.availabilityZone, processorShare: sender.processorShare }))
+    const { names, everyone } = decisions.tokenHolders.tokenHolders(account, this.#self.name, [this.#self, ...candidates])
+    const others = names.map((name) => byHost.get(name)).filter((heartbeat) => heartbeat !== undefined)
     return {
-      role,
+      role: everyone ? tokenTasks.TokenRole.peer : names.includes(this.#self.name) ? tokenTasks.TokenRole.holder : tokenTasks.TokenRole.borrower,
       others: others.map(({ sender, freeTokens, spending }) => ({
         peerAddress: sender.peerAddress,
-        freeTokens: isTold ? freeTokens[account] ?? 0 : undefined,
-        spending: isTold ? spending[account] ?? 0 : undefined
+        freeTokens: everyone ? freeTokens[account] ?? 0 : undefined,
+        spending: everyone ? spending[account] ?? 0 : undefined
       }))
     }
   }
 
-  /** Chosen anew only now and then in a large fleet, which takes a while to order. In a small one all hold, and each heartbeat tells news. */
-  #holdersNow (): ChosenHolders {
-    const now = this.#clock.now()
-    if (this.#largeFleet !== undefined && now - this.#largeFleet.chosenAt < CHOSEN_FOR_MS) return this.#largeFleet
-    const byHost = new Map(this.#live().filter(({ sender }) => !sender.leaving).map((heartbeat) => [heartbeat.sender.host, heartbeat]))
-    const candidates = [...byHost.values()].map(({ sender }) => ({ name: sender.host, availabilityZone: sender.availabilityZone }))
-    const self = { name: this.#host, availabilityZone: this.#availabilityZone }
-    const { names, everyone } = decisions.tokenHolders.tokenHolders(this.#host, [self, ...candidates])
-    const chosen = {
-      chosenAt: now,
-      role: everyone ? tokenTasks.TokenRole.peer : names.includes(this.#host) ? tokenTasks.TokenRole.holder : tokenTasks.TokenRole.borrower,
-      others: names.map((name) => byHost.get(name)).filter((heartbeat) => heartbeat !== undefined)
-    }
-    this.#largeFleet = everyone ? undefined : chosen
-    return chosen
-  }
-
   #live (): routers.gatewayMessages.GatewayHeartbeat[] {
     return this.#peers.live(this.#clock.now())
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -40,6 +40,9 @@
 /** Largest fleet whose gateways tell each other what they hold, account by account. */
 const MOST_TOLD_TOKENS = 12
 
+/** Least time between two sums of the other gateways' work, in milliseconds. A sum goes through all of them. */
+const WORK_INTERVAL_MS = 50
+
 /** Reported where the store has not answered yet, in milliseconds. */
 const UNREACHED_MS = 1_000_000
 
@@ -80,6 +83,7 @@
   readonly #load: loads.LoadMeter
   readonly #stop = new AbortController()
   #agreementConfirmedAt = -Infinity
+  #workSummedAt = -Infinity
   #leaving = false
 
   constructor (options: GatewayOptions) {
@@ -90,7 +94,7 @@
     this.#logger = options.log.logger.child({ incarnation: this.#incarnation })
     this.#store = new adapter.storeClient.StoreClient({ address: options.fleet.storeAddress, timeoutMs: STORE_TIMEOUT_MS, logger: this.#logger })
     this.#peers = new peerTables.PeerTable(options.fleet.peerListen)
-    this.#view = new fleetViews.FleetView(options.fleet.host, options.fleet.availabilityZone, this.#peers, this.#clock)
+    this.#view = new fleetViews.FleetView({ name: options.fleet.host, availabilityZone: options.fleet.availabilityZone, processorShare: options.fleet.processorShare }, this.#peers, this.#clock)
     this.#allowance = new decisions.retryAllowance.RetryAllowance(options.fleet.retryBudget)
     this.#load = new loads.LoadMeter(this.#clock, options.fleet.processorShare)
     const pauseMs = (): number => this.#view.hasWatchDuty() ? 0 : DUTY_CHECK_MS
@@ -200,6 +204,7 @@
       leaving: this.#leaving,
       ready: this.#isReady(),
       load: this.#load.load(),
+      processorShare: this.#fleet.processorShare,
       storeSilenceMs: Math.round(Math.min(this.#configuration.silenceMs(), UNREACHED_MS))
     }
   }
@@ -220,7 +225,10 @@
   #hear (heartbeat: routers.gatewayMessages.GatewayHeartbeat): void {
     const now = this.#clock.now()
     for (const id of heartbeat.leavingTargets) this.#board.markLeaving(id)
-    this.#board.useOthersWork(this.#peers.work(now))
+    if (now - this.#workSummedAt >= WORK_INTERVAL_MS) {
+      this.#workSummedAt = now
+      this.#board.useOthersWork(this.#peers.work(now))
+    }
     if (heartbeat.agreementVersion === this.#configuration.version) {
       this.#agreementConfirmedAt = Math.max(this.#agreementConfirmedAt, now - heartbeat.sender.storeSilenceMs)
     }
--- a/packages/routers/src/gateway-messages.ts
+++ b/packages/routers/src/gateway-messages.ts
@@ -12,6 +12,8 @@
   load: number
   /** Time since the store last answered the gateway, in milliseconds. */
   storeSilenceMs: number
+  /** Processor time that the gateway may use, as a share of one core. */
+  processorShare: number
 }
 
 /** A gateway that the sender hears, directly or through others. */
