--- a/packages/gateway/src/token-task.ts
+++ b/packages/gateway/src/token-task.ts
@@ -28,6 +28,9 @@
 /** Tries to find tokens for one request. */
 const MOST_TRIES = 3
 
+/** Longest search for one request's tokens, in milliseconds: two gateways that do not answer. A refusal after it still lets the caller try elsewhere. */
+const SEARCH_MS = 300
+
 /** Tokens asked of another gateway, as a multiple of what is lacking. */
 const TRANSFER_FACTOR = 2
 
@@ -162,7 +165,8 @@
   }
 
   async #reserveWaiting (account: string, tokens: number): Promise<ReserveOutcome> {
-    for (let attempt = 0; attempt < MOST_TRIES; attempt++) {
+    const searchUntil = this.#options.clock.now() + SEARCH_MS
+    for (let attempt = 0; attempt < MOST_TRIES && this.#options.clock.now() < searchUntil; attempt++) {
       if (this.#isUsedUp(account, tokens) && !this.#mayAskAll(account)) return ReserveOutcome.exhausted
       await this.#replenishOnce(account, tokens)
       if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
@@ -297,9 +301,10 @@
   /** Asks a few holders, one after the other. */
   async #borrow (account: string, tokens: number, holders: TokenHolder[]): Promise<void> {
     let usedUp = holders.length > 0
+    const askUntil = this.#options.clock.now() + SEARCH_MS
     for (const holder of holders.slice(0, MOST_ASKED)) {
       const lacking = tokens - this.#pool.free(account)
-      if (lacking <= 0) return
+      if (lacking <= 0 || this.#options.clock.now() >= askUntil) return
       const ahead = this.#pool.spendingIn(account, ASK_AHEAD_SECONDS, this.#seconds())
       const wanted = ahead > tokens * WORTH_ASKING_AHEAD ? lacking + ahead : lacking
       const received = await this.#options.transfer(holder.peerAddress, account, wanted)
