--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,11 +8,13 @@
 import * as configurations from './configuration-watch.js'
 import * as logs from './decision-log.js'
 import * as entries from './entry-server.js'
+import * as fleetExchanges from './fleet-exchange.js'
 import * as fleetViews from './fleet-view.js'
 import * as metrics from './gateway-metrics.js'
 import * as loads from './load-meter.js'
 import * as peerTables from './peer-table.js'
 import * as peerTasks from './peer-task.js'
+import * as registrations from './registration.js'
 import * as flows from './request-flow.js'
 import * as targetWatches from './target-watch.js'
 import * as targetConnections from './target-connections.js'
@@ -34,15 +36,6 @@
 /** Pause between two looks at requests in progress while leaving, in milliseconds. */
 const LEAVE_CHECK_MS = 50
 
-/** Pause between two tries to register, in milliseconds. */
-const REGISTER_PAUSE_MS = 500
-
-/** Largest fleet whose gateways tell each other what they hold, account by account. */
-const MOST_TOLD_TOKENS = 12
-
-/** Least time between two sums of the other gateways' work, in milliseconds. A sum goes through all of them. */
-const WORK_INTERVAL_MS = 50
-
 /** Reported where the store has not answered yet, in milliseconds. */
 const UNREACHED_MS = 1_000_000
 
@@ -76,14 +69,13 @@
   readonly #targets: targetWatches.TargetWatch
   readonly #pages: tokenPages.TokenPages
   readonly #tokens: tokenTasks.TokenTask
+  readonly #exchange: fleetExchanges.FleetExchange
   readonly #peerTask: peerTasks.PeerTask
   readonly #metrics: metrics.GatewayMetrics
   readonly #callers: callerServers.CallerServer
   readonly #entry: entries.EntryServer
   readonly #load: loads.LoadMeter
   readonly #stop = new AbortController()
-  #agreementConfirmedAt = -Infinity
-  #workSummedAt = -Infinity
   #leaving = false
 
   constructor (options: GatewayOptions) {
@@ -109,6 +101,7 @@
       onTokens: (account, tokens) => { this.#pool.add(account, tokens) }
     })
     this.#tokens = this.#createTokenTask()
+    this.#exchange = this.#createExchange()
     this.#peerTask = this.#createPeerTask()
     this.#metrics = new metrics.GatewayMetrics(this.#gauges())
     this.#callers = this.#createCallerServer()
@@ -209,62 +202,11 @@
     }
   }
 
-  #heartbeat (): Omit<routers.gatewayMessages.GatewayHeartbeat, 'sequence' | 'asksForAnswer'> {
-    return {
-      sender: this.#member(),
-      heard: this.#peers.heard(this.#clock.now()),
-      agreementVersion: this.#configuration.version,
-      targetsRevision: this.#targets.changeRevision,
-      work: Object.entries(this.#board.ownWork()).map(([id, work]) => ({ id, ...work })),
-      freeTokens: this.#view.gateways() > MOST_TOLD_TOKENS ? {} : this.#tokens.freeTokens(),
-      spending: this.#view.gateways() > MOST_TOLD_TOKENS ? {} : this.#tokens.spending(),
-      leavingTargets: this.#board.entries().filter((entry) => entry.leaving).map((entry) => entry.id)
-    }
-  }
-
-  #hear (heartbeat: routers.gatewayMessages.GatewayHeartbeat): void {
-    const now = this.#clock.now()
-    for (const id of heartbeat.leavingTargets) this.#board.markLeaving(id)
-    if (now - this.#workSummedAt >= WORK_INTERVAL_MS) {
-      this.#workSummedAt = now
-      this.#board.useOthersWork(this.#peers.work(now))
-    }
-    if (heartbeat.agreementVersion === this.#configuration.version) {
-      this.#agreementConfirmedAt = Math.max(this.#agreementConfirmedAt, now - heartbeat.sender.storeSilenceMs)
-    }
-    const needsTargets = heartbeat.targetsRevision > this.#targets.changeRevision && (this.#targets.changeRevision === 0 || !this.#view.hasWatchDuty())
-    if (heartbeat.agreementVersion > this.#configuration.version || needsTargets) void this.#peerTask.fetchState(heartbeat.sender.peerAddress)
-  }
-
-  #known (): routers.gatewayMessages.StateRequest {
-    return { agreementVersion: this.#configuration.version, targetsRevision: this.#targets.changeRevision }
-  }
-
-  #state (known: routers.gatewayMessages.StateRequest): routers.gatewayMessages.GatewayState {
-    const agreement = this.#configuration.table?.agreement
-    const isNewer = agreement !== undefined && agreement.version > known.agreementVersion
-    const targetsRevision = this.#targets.changeRevision
-    return {
-      agreement: isNewer ? JSON.stringify(agreement) : '',
-      targets: targetsRevision > known.targetsRevision ? JSON.stringify(this.#board.entries()) : '',
-      targetsRevision
-    }
-  }
-
-  #useState (state: routers.gatewayMessages.GatewayState): void {
-    if (state.agreement !== '') this.#configuration.take(JSON.parse(state.agreement), configurations.AgreementSource.peer)
-    if (state.targets !== '') this.#targets.takeFromPeer(JSON.parse(state.targets), state.targetsRevision)
-  }
-
   #useAgreement (table: decisions.routeTable.RouteTable): void {
-    this.#agreementConfirmedAt = this.#clock.now()
+    this.#exchange.confirmAgreement(this.#clock.now())
     this.#callers.useLimits(table.agreement.limits)
   }
 
-  #agreementAgeMs (): number {
-    return Math.min(this.#configuration.silenceMs(), this.#clock.now() - this.#agreementConfirmedAt)
-  }
-
   #totals (): tokenPages.PrepaidTotals | undefined {
     const agreement = this.#configuration.table?.agreement
     if (agreement?.accounts === undefined) return undefined
@@ -272,28 +214,15 @@
     return { version: agreement.version, totals: Object.fromEntries(prepaid.map((account) => [account.name, account.prepaidTokens ?? 0])) }
   }
 
-  /** Registers this gateway in the store, and learns of those that registered before. */
   async #register (): Promise<void> {
-    const kind = adapter.objectKinds.ObjectKind.routers
-    while (!this.#stop.signal.aborted) {
-      const listed = await this.#store.list(kind)
-      if (listed.status === 'done') {
-        const own = listed.result.objects.find((object) => object.name === this.#fleet.host)
-        for (const object of listed.result.objects) this.#meet(object)
-        const value = { peerAddress: this.#fleet.peerListen }
-        const written = own === undefined
-          ? await this.#store.create(kind, this.#fleet.host, value)
-          : await this.#store.replace(kind, this.#fleet.host, value, own.revision)
-        if (written.status === 'done') return
-      }
-      await this.#clock.sleep(REGISTER_PAUSE_MS, this.#stop.signal)
-    }
-  }
-
-  #meet (object: platform.objectStore.StoreObject): void {
-    const address = (object.value as { peerAddress?: unknown } | null)?.peerAddress
-    if (typeof address === 'string') this.#peers.add(address, this.#clock.now())
-    else this.#logger.warn({ event: 'gateway-entry-skipped', host: object.name, revision: object.revision })
+    await registrations.register({
+      host: this.#fleet.host,
+      peerAddress: this.#fleet.peerListen,
+      store: this.#store,
+      clock: this.#clock,
+      logger: this.#logger,
+      onGateway: (peerAddress) => { this.#peers.add(peerAddress, this.#clock.now()) }
+    }, this.#stop.signal)
   }
 
   #createTokenTask (): tokenTasks.TokenTask {
@@ -312,6 +241,20 @@
     })
   }
 
+  #createExchange (): fleetExchanges.FleetExchange {
+    return new fleetExchanges.FleetExchange({
+      clock: this.#clock,
+      board: this.#board,
+      peers: this.#peers,
+      view: this.#view,
+      configuration: this.#configuration,
+      targets: this.#targets,
+      tokens: this.#tokens,
+      member: () => this.#member(),
+      fetchState: (peerAddress) => { void this.#peerTask.fetchState(peerAddress) }
+    })
+  }
+
   #createPeerTask (): peerTasks.PeerTask {
     return new peerTasks.PeerTask({
       selfAddress: this.#fleet.peerListen,
@@ -319,13 +262,13 @@
       seeds: this.#fleet.seedPeers,
       clock: this.#clock,
       logger: this.#logger,
-      heartbeat: () => this.#heartbeat(),
-      state: (known) => this.#state(known),
-      known: () => this.#known(),
+      heartbeat: () => this.#exchange.heartbeat(),
+      state: (known) => this.#exchange.stateBeyond(known),
+      known: () => this.#exchange.known(),
       giveTokens: async (request) => await this.#tokens.giveAway(request),
       takeTokens: (account, tokens) => { this.#pool.add(account, tokens) },
-      onHeartbeat: (heartbeat) => { this.#hear(heartbeat) },
-      onState: (state) => { this.#useState(state) }
+      onHeartbeat: (heartbeat) => { this.#exchange.hear(heartbeat) },
+      onState: (state) => { this.#exchange.useState(state) }
     })
   }
 
@@ -349,7 +292,7 @@
       metrics: this.#metrics,
       flow,
       table: () => this.#configuration.table,
-      agreementAgeMs: () => this.#agreementAgeMs()
+      agreementAgeMs: () => this.#exchange.agreementAgeMs()
     })
   }
 
