--- a/packages/gateway/src/peer-table.ts
+++ b/packages/gateway/src/peer-table.ts
@@ -25,6 +25,14 @@
   heardAt: number
   /** When the heartbeat came. */
   heartbeatAt: number
+  /** It was heard, and has not been found silent since. */
+  isTrusted: boolean
+}
+
+/** A gateway that fell silent. */
+export interface SilentGateway {
+  sender: Member
+  silentMs: number
 }
 
 /** The other gateways by peer address, with what each last said. */
@@ -40,7 +48,7 @@
   /** Adds an address at which a gateway may be. */
   add (peerAddress: string, now: number): void {
     if (peerAddress === this.#self || this.#peers.has(peerAddress)) return
-    this.#peers.set(peerAddress, { heartbeat: undefined, heardAt: now - SUSPECT_AFTER_MS, heartbeatAt: -Infinity })
+    this.#peers.set(peerAddress, { heartbeat: undefined, heardAt: now - SUSPECT_AFTER_MS, heartbeatAt: -Infinity, isTrusted: false })
   }
 
   /** Takes a heartbeat. Returns whether its sender was not live before. */
@@ -49,12 +57,13 @@
     if (peerAddress === this.#self) return false
     const known = this.#peers.get(peerAddress)
     if (known?.heartbeat !== undefined && isOlder(heartbeat, known.heartbeat)) return false
-    const wasLive = known?.heartbeat !== undefined && this.#isLive(known, now)
-    this.#peers.set(peerAddress, { heartbeat, heardAt: now, heartbeatAt: now })
+    const wasLive = known !== undefined && known.isTrusted && this.#isLive(known, now)
+    this.#peers.set(peerAddress, { heartbeat, heardAt: now, heartbeatAt: now, isTrusted: true })
     for (const heard of heartbeat.heard) {
       this.add(heard.peerAddress, now)
       const peer = this.#peers.get(heard.peerAddress)
-      if (peer !== undefined) peer.heardAt = Math.max(peer.heardAt, now - heard.ageMs)
+      if (peer === undefined) continue
+      peer.heardAt = Math.max(peer.heardAt, now - heard.ageMs)
     }
     return !wasLive
   }
@@ -77,6 +86,17 @@
     })
   }
 
+  /** Gateways that fell silent since the last call. */
+  takeSilent (now: number): SilentGateway[] {
+    const silent: SilentGateway[] = []
+    for (const peer of this.#peers.values()) {
+      if (!peer.isTrusted || peer.heartbeat === undefined || this.#isLive(peer, now)) continue
+      peer.isTrusted = false
+      silent.push({ sender: peer.heartbeat.sender, silentMs: Math.round(now - peer.heardAt) })
+    }
+    return silent
+  }
+
   /** All addresses to exchange heartbeats with. Forgets gateways that were silent for long. */
   addresses (now: number): string[] {
     for (const [address, peer] of this.#peers) {
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -150,6 +150,9 @@
 
   async #run (): Promise<void> {
     while (!this.#stop.signal.aborted) {
+      for (const { sender, silentMs } of this.#options.table.takeSilent(this.#options.clock.now())) {
+        this.#options.logger.warn({ event: 'dependency-lost', dependency: 'gateway', peer: sender.peerAddress, incarnation: sender.incarnation, leaving: sender.leaving, silentMs })
+      }
       this.#send(this.#nextRound(), true)
       await this.#options.clock.sleep(EXCHANGE_INTERVAL_MS, this.#stop.signal)
     }
