Balance held and borrowed accounts each by its role, and borrow for all that waits

Found by reading: balance took the role of the last account for all of them, so a gateway that holds some accounts and borrows others drew nothing in some rounds; and a borrower asked for one waiting request at a time, so the fourth of a burst ran out of tries.

--- a/packages/gateway/src/token-task.ts
+++ b/packages/gateway/src/token-task.ts
@@ -158,22 +158,18 @@
     if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
     this.#addWaiting(account, tokens)
     try {
-      return await this.#reserveWaiting(account, tokens)
+      const searchUntil = this.#options.clock.now() + SEARCH_MS
+      for (let attempt = 0; attempt < MOST_TRIES && this.#options.clock.now() < searchUntil; attempt++) {
+        if (this.#isUsedUp(account, tokens) && !this.#mayAskAll(account)) return ReserveOutcome.exhausted
+        await this.#replenishOnce(account, tokens)
+        if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
+      }
+      return this.#isUsedUp(account, tokens) ? ReserveOutcome.exhausted : ReserveOutcome.unreachable
     } finally {
       this.#addWaiting(account, -tokens)
     }
   }
 
-  async #reserveWaiting (account: string, tokens: number): Promise<ReserveOutcome> {
-    const searchUntil = this.#options.clock.now() + SEARCH_MS
-    for (let attempt = 0; attempt < MOST_TRIES && this.#options.clock.now() < searchUntil; attempt++) {
-      if (this.#isUsedUp(account, tokens) && !this.#mayAskAll(account)) return ReserveOutcome.exhausted
-      await this.#replenishOnce(account, tokens)
-      if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
-    }
-    return this.#isUsedUp(account, tokens) ? ReserveOutcome.exhausted : ReserveOutcome.unreachable
-  }
-
   #addWaiting (account: string, tokens: number): void {
     this.#waiting.set(account, (this.#waiting.get(account) ?? 0) + tokens)
   }
@@ -233,20 +229,20 @@
     if (this.#options.pages.ageMs() === Infinity && await this.#options.pages.ask(new Map()) === pages.PageResult.unreachable) return
     const changes = new Map<string, number>()
     let isDue = false
-    let isBorrower = false
     for (const [account, total] of Object.entries(totals.totals)) {
       const target = this.#target(account)
       const wanted = target - this.#pool.free(account)
-      isBorrower = this.#options.holders(account).role === TokenRole.borrower
+      const isBorrower = this.#options.holders(account).role === TokenRole.borrower
       if (Math.abs(wanted) < total * (isBorrower ? SMALLEST_RETURN_SHARE : SMALLEST_CHANGE_SHARE)) continue
+      const isOffTarget = this.#pool.isOffTarget(account, target)
+      if (isBorrower) {
+        if (isOffTarget) await this.#returnTo(account, -wanted)
+        continue
+      }
       changes.set(account, wanted)
-      isDue ||= this.#pool.isOffTarget(account, target)
+      isDue ||= isOffTarget
     }
     if (!isDue) return
-    if (isBorrower) {
-      await Promise.all([...changes].map(async ([account, wanted]) => { await this.#returnTo(account, -wanted) }))
-      return
-    }
     for (const [account, wanted] of changes) {
       if (wanted < 0) changes.set(account, -this.#pool.take(account, -wanted))
     }
@@ -279,12 +275,12 @@
   async #replenish (account: string, tokens: number): Promise<void> {
     const { role, others } = this.#options.holders(account)
     if (role === TokenRole.borrower) {
-      await this.#borrow(account, tokens, others)
+      await this.#borrow(account, others)
       return
     }
     const found = role === TokenRole.peer && await this.#collect(account, this.#lacking(account), others)
     if (!found) await this.#draw(account, tokens)
-    if (role === TokenRole.holder && this.#pool.free(account) < tokens) await this.#borrow(account, tokens, others)
+    if (role === TokenRole.holder && this.#lacking(account) > 0) await this.#borrow(account, others)
   }
 
   /** Draws from the page so that the tokens and all waiting requests fit, and up to the target. */
@@ -298,15 +294,15 @@
     if (this.#pool.free(account) < tokens) this.#drawnInVainAt.set(account, this.#options.clock.now())
   }
 
-  /** Asks a few holders, one after the other. */
-  async #borrow (account: string, tokens: number, holders: TokenHolder[]): Promise<void> {
+  /** Asks a few holders, one after the other, for what all waiting requests lack. */
+  async #borrow (account: string, holders: TokenHolder[]): Promise<void> {
     let usedUp = holders.length > 0
     const askUntil = this.#options.clock.now() + SEARCH_MS
     for (const holder of holders.slice(0, MOST_ASKED)) {
-      const lacking = tokens - this.#pool.free(account)
+      const lacking = this.#lacking(account)
       if (lacking <= 0 || this.#options.clock.now() >= askUntil) return
       const ahead = this.#pool.spendingIn(account, ASK_AHEAD_SECONDS, this.#seconds())
-      const wanted = ahead > tokens * WORTH_ASKING_AHEAD ? lacking + ahead : lacking
+      const wanted = ahead > lacking * WORTH_ASKING_AHEAD ? lacking + ahead : lacking
       const received = await this.#options.transfer(holder.peerAddress, account, wanted)
       this.#pool.add(account, received?.tokens ?? 0)
       usedUp &&= received?.usedUp === true
