Survive stray datagrams, and never give returned tokens twice

Found by reading the diff: a datagram without a sender, such as an empty one, decodes, and ended the process in its handler; a repeated return of tokens could reach a later process at the same address after the first one's tokens were spent, and the account would be overspent. Change: what names no address of its sender is no heartbeat; a return is tried once, and counts as spent where no answer comes. Tests: heartbeat-socket.test.ts.

--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -23,9 +23,6 @@
 /** Longest wait for tokens of another gateway, in milliseconds. A request waits for it, and the other may draw them first. */
 const TRANSFER_TIMEOUT_MS = 150
 
-/** Tries to give tokens to another gateway. */
-const RETURN_TRIES = 3
-
 /** Longest wait for another gateway's agreement and targets, in milliseconds. */
 const STATE_TIMEOUT_MS = 1500
 
@@ -58,8 +55,6 @@
   readonly #server: routers.peerServer.PeerServer<Calls>
   readonly #heartbeats: routers.heartbeatSocket.HeartbeatSocket
   readonly #stop = new AbortController()
-  /** Transfers whose tokens were taken in. */
-  readonly #taken = new Set<string>()
   readonly #given = new Map<string, Promise<routers.gatewayMessages.TokenTransferReply>>()
   #fetching = false
   #next = 0
@@ -113,29 +108,26 @@
     }
   }
 
-  /** Gives tokens to another gateway. Where no answer comes they count as spent, as they may have arrived. */
+  /**
+   * Gives tokens to another gateway, in one try: a second could reach a later process at the same address after the first one's
+   * tokens were spent. Where no answer comes the tokens count as spent.
+   */
   async returnTokens (peerAddress: string, account: string, tokens: number): Promise<void> {
-    const request = { transferId: crypto.randomUUID(), account, tokens }
-    for (let attempt = 0; attempt < RETURN_TRIES; attempt++) {
-      try {
-        await this.#client.call(peerAddress, 'ReturnTokens', request, TRANSFER_TIMEOUT_MS)
-        return
-      } catch (error) {
-        this.#options.logger.warn({ event: 'return-failed', peer: peerAddress, account, tokens, attempt, reason: (error as Error).message })
-      }
+    try {
+      await this.#client.call(peerAddress, 'ReturnTokens', { account, tokens }, TRANSFER_TIMEOUT_MS)
+    } catch (error) {
+      this.#options.logger.warn({ event: 'return-failed', peer: peerAddress, account, tokens, reason: (error as Error).message })
     }
   }
 
   override async answer<Name extends keyof Calls> (name: Name, request: Calls[Name]['request']): Promise<Calls[Name]['reply']> {
-    if (name === 'ReturnTokens') return this.#answerReturn(request as Calls['ReturnTokens']['request'])
+    if (name === 'ReturnTokens') return this.#takeReturned(request as Calls['ReturnTokens']['request'])
     if (name === 'TransferTokens') return await this.#answerTransfer(request as Calls['TransferTokens']['request'])
     return this.#options.state(request as Calls['FetchState']['request'])
   }
 
-  #answerReturn (request: Calls['ReturnTokens']['request']): object {
-    if (!this.#taken.has(request.transferId)) this.#options.takeTokens(request.account, request.tokens)
-    this.#taken.add(request.transferId)
-    keepNewest(this.#taken)
+  #takeReturned ({ account, tokens }: Calls['ReturnTokens']['request']): object {
+    this.#options.takeTokens(account, tokens)
     return {}
   }
 
@@ -144,7 +136,10 @@
     if (known !== undefined) return await known
     const reply = this.#options.giveTokens(request)
     this.#given.set(request.transferId, reply)
-    keepNewest(this.#given)
+    for (const id of this.#given.keys()) {
+      if (this.#given.size <= TRANSFERS_KEPT) break
+      this.#given.delete(id)
+    }
     return await reply
   }
 
@@ -195,10 +190,3 @@
     }
   }
 }
-
-function keepNewest (transfers: { size: number, keys: () => Iterable<string>, delete: (id: string) => void }): void {
-  for (const id of transfers.keys()) {
-    if (transfers.size <= TRANSFERS_KEPT) break
-    transfers.delete(id)
-  }
-}
--- /dev/null
+++ b/packages/gateway/test/heartbeat-socket.test.ts
@@ -0,0 +1,54 @@
+import * as routers from '@acaciaweir/routers'
+import * as standIns from '@acaciaweir/stand-ins'
+import * as chai from 'chai'
+import * as dgram from 'node:dgram'
+import * as fleets from './fleet.js'
+
+const { expect } = chai
+
+const LOOPBACK = '127.0.0.1'
+
+function heartbeat (peerAddress: string): routers.gatewayMessages.GatewayHeartbeat {
+  const sender = { host: 'one', incarnation: 'one-1', peerAddress, callerAddress: '', availabilityZone: 'a', leaving: false, ready: true, load: 0.25, storeSilenceMs: 7, processorShare: 0.5 }
+  const work = [{ id: 'engine-1', requests: 2, unreadTokens: 900 }]
+  return { sender, heard: [{ peerAddress: '10.0.0.9:1', ageMs: 40 }], agreementVersion: 3, targetsRevision: 80, work, freeTokens: { depot: 12 }, spending: { depot: 4 }, leavingTargets: ['engine-2'], sequence: 5, asksForAnswer: true }
+}
+
+describe('the socket of heartbeats', () => {
+  const heard: routers.gatewayMessages.GatewayHeartbeat[] = []
+  const failures: string[] = []
+  let socket: routers.heartbeatSocket.HeartbeatSocket
+  let address: string
+
+  beforeEach(async () => {
+    heard.length = 0
+    failures.length = 0
+    socket = new routers.heartbeatSocket.HeartbeatSocket({ heard: (message) => { heard.push(message) }, failed: (_peer, reason) => { failures.push(reason) } })
+    const port = await standIns.freePorts.freePort()
+    await socket.listen(port, LOOPBACK)
+    address = `${LOOPBACK}:${port}`
+  })
+  afterEach(() => { socket.close() })
+
+  it('brings a heartbeat over as it was sent', async () => {
+    socket.send(heartbeat(address), [address])
+    await fleets.eventually(() => heard.length === 1)
+    expect(heard[0]).to.deep.equal(heartbeat(address))
+  })
+
+  const strays: Array<{ name: string, datagram: Buffer }> = [
+    { name: 'an empty datagram', datagram: Buffer.alloc(0) },
+    { name: 'text', datagram: Buffer.from('hello, is this a resolver?') },
+    { name: 'a heartbeat that names no address', datagram: routers.peerDefinition.heartbeatCodec.serialize(heartbeat('')) },
+    { name: 'a heartbeat that is cut', datagram: routers.peerDefinition.heartbeatCodec.serialize(heartbeat('10.0.0.1:1')).subarray(0, 30) }
+  ]
+  for (const { name, datagram } of strays) {
+    it(`survives ${name}`, async () => {
+      const stray = dgram.createSocket('udp4')
+      stray.send(datagram, Number(address.split(':')[1]), LOOPBACK)
+      await fleets.eventually(() => failures.length === 1)
+      expect(heard).to.deep.equal([])
+      stray.close()
+    })
+  }
+})
--- a/packages/routers/src/gateway-messages.ts
+++ b/packages/routers/src/gateway-messages.ts
@@ -68,7 +68,6 @@
 
 /** Tokens that have left the sender's pool for the receiver's. */
 export interface TokenReturn {
-  transferId: string
   account: string
   tokens: number
 }
--- a/packages/routers/src/heartbeat-socket.ts
+++ b/packages/routers/src/heartbeat-socket.ts
@@ -2,6 +2,9 @@
 import type * as messages from './gateway-messages.js'
 import * as definition from './peer-definition.js'
 
+/** An IP address with its port; a datagram to anything else could not be sent. */
+const ADDRESS = /^[\d.]+:\d{1,5}$/
+
 /** What becomes of datagrams. */
 export interface HeartbeatHandler {
   heard: (heartbeat: messages.GatewayHeartbeat) => void
@@ -50,13 +53,19 @@
   }
 
   #take (datagram: Buffer, sender: string): void {
-    let heartbeat: messages.GatewayHeartbeat
-    try {
-      heartbeat = definition.heartbeatCodec.deserialize(datagram)
-    } catch (error) {
-      this.#handler.failed(sender, (error as Error).message)
-      return
-    }
-    this.#handler.heard(heartbeat)
+    const heartbeat = decode(datagram)
+    if (heartbeat === undefined) this.#handler.failed(sender, 'the datagram is no heartbeat')
+    else this.#handler.heard(heartbeat)
+  }
+}
+
+/** Undefined for what is no heartbeat. An empty datagram decodes to a message without a sender. */
+function decode (datagram: Buffer): messages.GatewayHeartbeat | undefined {
+  try {
+    const heartbeat = definition.heartbeatCodec.deserialize(datagram) as Partial<messages.GatewayHeartbeat>
+    const addresses = [heartbeat.sender?.peerAddress ?? '', ...(heartbeat.heard ?? []).map((heard) => heard.peerAddress)]
+    return addresses.every((address) => ADDRESS.test(address)) ? heartbeat as messages.GatewayHeartbeat : undefined
+  } catch {
+    return undefined
   }
 }
