--- a/packages/routers/src/heartbeat-socket.ts
+++ b/packages/routers/src/heartbeat-socket.ts
@@ -13,7 +13,7 @@
 }
 
 /**
- * Sends and receives the heartbeats of gateways. Datagrams cost a tenth of a call, keep no connection that could go
+ * Sends and receives the heartbeats of gateways. Datagrams cost less than calls, keep no connection that could go
  * silent, and one that is lost is made good by the next.
  */
 export class HeartbeatSocket {
