Watch an object on after its last change has left the store's history

Found by reading: the watch of a key returned at once where the store no longer knew the revision of the object's last change, so a router whose configuration is older than the history would have asked the store without a pause. Change: it watches on from the store's present revision. The test saw the watch of 400 ms return at once before.

--- a/packages/platform/src/keyed-store.ts
+++ b/packages/platform/src/keyed-store.ts
@@ -54,20 +54,23 @@
   override async list (prefix: string): Promise<client.StoredObject[]> {
     const { kind, name } = objectName(prefix)
     const { objects } = required(await this.#store.list(kind))
-    const parts = prefix.split('/')[0]
-    return objects.filter((object) => object.name.startsWith(name)).map((object) => storedObject(`${parts}/${object.name.replaceAll('.', '/')}`, object))
+    const kindPart = prefix.split('/')[0]
+    return objects.filter((object) => object.name.startsWith(name)).map((object) => storedObject(`${kindPart}/${object.name.replaceAll('.', '/')}`, object))
   }
 
   override async watch (key: string, knownVersion: string | undefined, waitMs: number): Promise<client.StoredObject | undefined> {
     const { kind, name } = objectName(key)
     const end = performance.now() + waitMs
-    let revision = knownVersion === undefined ? required(await this.#store.list(kind)).revision : Number(knownVersion)
+    let revision = knownVersion === undefined ? await this.#presentRevision(kind) : Number(knownVersion)
     for (;;) {
       const leftMs = end - performance.now()
       const present = await this.read(key)
       if (present?.version !== knownVersion || leftMs <= 0) return present
       const outcome = await this.#store.watch(kind, revision, leftMs)
-      if (outcome.status === 'history-gone') return present
+      if (outcome.status === 'history-gone') {
+        revision = await this.#presentRevision(kind)
+        continue
+      }
       const changes = required(outcome)
       revision = changes.revision
       const change = changes.events.filter((event) => event.object.name === name).at(-1)
@@ -83,6 +86,11 @@
     }
   }
 
+  /** The store's revision; an object that is read afterwards shows all changes up to it. */
+  async #presentRevision (kind: string): Promise<number> {
+    return required(await this.#store.list(kind)).revision
+  }
+
   async #listed (kind: string): Promise<Array<{ name: string, leaving: boolean }>> {
     const { objects } = required(await this.#store.list(kind))
     return objects.map((object) => ({ name: object.name, leaving: (object.value as { leaving?: unknown } | null)?.leaving === true }))
@@ -103,7 +111,7 @@
   throw new client.PlatformUnavailable(outcome.step, outcome.reason)
 }
 
-/** A write that was turned away has not taken effect, but may as well be tried again as one whose answer was lost. */
+/** A write that the store turned away has not taken effect. Callers read and try again, as after a lost answer. */
 function notWritten (failure: stores.StoreFailure): client.WriteResult {
   if (failure.status === 'conflict' || failure.status === 'missing') return { kind: 'conflict' }
   return { kind: 'unknown', reason: failure.reason }
