Refuse an address that cannot be the store's, and keep logs off the results

Found by reading: since the command line and the router share the store's client, https and a path in the address were dropped without a word, a bad address ended the command line with 1 and no name of the flag, and warnings would have stood among the results that scripts read. Change: both name the setting and end with 2; the command line logs to standard error. Tests: program.test.ts, settings.test.ts.

--- a/packages/command-line/src/program.ts
+++ b/packages/command-line/src/program.ts
@@ -14,6 +14,8 @@
 /** Tries of a change that is made to the configuration in force, where other operators come in between. */
 const CHANGE_TRIES = 5
 
+const STANDARD_ERROR = 2
+
 interface GlobalOptions {
   platformAddress?: string
   platformTimeoutMs: string
@@ -132,7 +134,13 @@
     throw new exits.CommandError('--platform-address (ACACIAWEIR_PLATFORM_ADDRESS) is missing', exits.ExitCode.badInput)
   }
   const timeoutMs = wholeNumber('--platform-timeout-ms', options.platformTimeoutMs)
-  return adapter.keyedStoreAt.keyedStoreAt(options.platformAddress, timeoutMs, runtime.logging.createLogger('warn'))
+  // Standard output carries the results, which scripts read.
+  const logger = runtime.logging.createLogger('warn', {}, STANDARD_ERROR)
+  try {
+    return adapter.keyedStoreAt.keyedStoreAt(options.platformAddress, timeoutMs, logger)
+  } catch (error) {
+    throw new exits.CommandError(`--platform-address (ACACIAWEIR_PLATFORM_ADDRESS) is bad: ${(error as Error).message}`, exits.ExitCode.badInput)
+  }
 }
 
 function storeOf (program: commander.Command): operators.configurationStore.ConfigurationStore {
--- a/packages/command-line/test/program.test.ts
+++ b/packages/command-line/test/program.test.ts
@@ -73,6 +73,13 @@
     chai.expect(head.generation).to.equal(2)
   })
 
+  for (const bad of ['somewhere', 'https://127.0.0.1:1', 'http://127.0.0.1:1/base']) {
+    it(`refuses ${bad} as the platform's address`, async () => {
+      address = bad
+      chai.expect(await run('show')).to.equal(2)
+    })
+  }
+
   it('says that the platform is unreachable', async () => {
     server.faultSwitch.faults.down = true
     chai.expect(await run('show')).to.equal(4)
--- a/packages/router-daemon/src/settings.ts
+++ b/packages/router-daemon/src/settings.ts
@@ -1,3 +1,4 @@
+import * as adapter from '@acaciaweir/platform-adapter'
 import * as runtime from '@acaciaweir/runtime'
 import * as commander from 'commander'
 import * as zod from 'zod'
@@ -12,7 +13,7 @@
 const settingsSchema = zod.strictObject({
   host: zod.string().min(1),
   availabilityZone: zod.string().min(1),
-  platformAddress: zod.url({ protocol: /^https?$/ }),
+  platformAddress: zod.string().refine(adapter.keyedStoreAt.isStoreUrl, 'it must be http://HOST:PORT'),
   platformTimeoutMs: milliseconds,
   callerListen: listenAddress,
   callerAddress: zod.string().optional(),
--- a/packages/router-daemon/test/settings.test.ts
+++ b/packages/router-daemon/test/settings.test.ts
@@ -7,6 +7,7 @@
   { title: 'a missing host', argv: required.slice(2), environment: {}, fault: /--host \(ACACIAWEIR_HOST\) is missing/ },
   { title: 'a bad share', argv: [...required, '--allotment-share', '2'], environment: {}, fault: /--allotment-share \(ACACIAWEIR_ALLOTMENT_SHARE\) is bad/ },
   { title: 'a bad value in the environment', argv: required, environment: { ACACIAWEIR_JOURNAL_INTERVAL_MS: 'soon' }, fault: /--journal-interval-ms \(ACACIAWEIR_JOURNAL_INTERVAL_MS\) is bad/ },
+  { title: 'an address that the store cannot have', argv: [...required, '--platform-address', 'https://127.0.0.1:1'], environment: {}, fault: /--platform-address \(ACACIAWEIR_PLATFORM_ADDRESS\) is bad: it must be http/ },
   { title: 'an unknown routing policy', argv: [...required, '--routing-policy', 'luck'], environment: {}, fault: /--routing-policy/ }
 ]
 
--- a/packages/runtime/src/logging.ts
+++ b/packages/runtime/src/logging.ts
@@ -15,9 +15,9 @@
 /** Longest time that a line waits for others, in milliseconds. */
 const LOG_FLUSH_INTERVAL_MS = 500
 
-/** Creates a process's log on standard output, one line of JSON an event. */
-export function createLogger (level: string, bindings: Record<string, string> = {}): Logger {
-  return pino.pino({ level, base: bindings, timestamp: pino.stdTimeFunctions.isoTime })
+/** Creates a log, one line of JSON an event, on standard output or another descriptor. */
+export function createLogger (level: string, bindings: Record<string, string> = {}, descriptor: number = 1): Logger {
+  return pino.pino({ level, base: bindings, timestamp: pino.stdTimeFunctions.isoTime }, pino.destination({ dest: descriptor, sync: true }))
 }
 
 /** A log that never blocks its process, with the count of lines that no reader took in time. */
