Take a reservation for a right bill only where the engine was killed mid-answer

The check took it for every run of an engine that was killed at any later time, also where the run had ended long before and the engine could have been asked.

--- a/packages/proving/src/judge.ts
+++ b/packages/proving/src/judge.ts
@@ -18,7 +18,8 @@
   tag: zod.string(),
   promptTokens: zod.number().optional(),
   completionTokens: zod.number().optional(),
-  startedAt: zod.number()
+  startedAt: zod.number(),
+  finished: zod.boolean().optional()
 })
 
 type Served = zod.infer<typeof servedSchema> & billCheck.ServedRun & { target: string }
@@ -110,7 +111,7 @@
     for (const [index, entry] of [...beforeKill, ...sinceStart].entries()) {
       const run = servedSchema.parse(entry)
       const tokens = target.kind === 'service' ? SERVICE_TOKENS : (run.promptTokens ?? 0) + (run.completionTokens ?? 0)
-      all.push({ ...run, target: target.id, tokens, targetKilled: index < beforeKill.length })
+      all.push({ ...run, target: target.id, tokens, cutByKill: index < beforeKill.length && run.finished === false })
     }
   }
   return all
--- a/packages/stand-ins/src/engine-server.ts
+++ b/packages/stand-ins/src/engine-server.ts
@@ -27,6 +27,8 @@
   promptTokens: number
   completionTokens: number
   startedAt: number
+  /** The whole answer was made. */
+  finished: boolean
   /** True where the prompt's beginning was in the cache, so that the first token came sooner. */
   prefixReused: boolean
 }
@@ -192,6 +194,7 @@
       promptTokens: answer.promptTokens(stream.body.messages),
       completionTokens: 0,
       startedAt: Date.now(),
+      finished: false,
       prefixReused
     }
     this.served.push(stream.served)
@@ -208,8 +211,9 @@
   #produce (stream: EngineStream): void {
     if (stream.ended) return
     stream.produced += 1
-    if (stream.served !== undefined) stream.served.completionTokens = stream.produced
-    if (stream.produced === stream.length) this.#end(stream)
+    const finished = stream.produced === stream.length
+    if (stream.served !== undefined) Object.assign(stream.served, { completionTokens: stream.produced, finished })
+    if (finished) this.#end(stream)
     for (const reader of stream.readers) this.#feed(stream, reader)
     if (!stream.ended) setTimeout(() => { this.#produce(stream) }, this.options.tokenIntervalMs)
   }
