--- a/packages/proving/src/footprint-experiment.ts
+++ b/packages/proving/src/footprint-experiment.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http'
 import * as timers from 'node:timers/promises'
+import * as figures from './figures.js'
 import * as examples from './example-manifest.js'
 import * as fleets from './fleet.js'
 import * as histograms from './histograms.js'
@@ -45,9 +46,9 @@
       inFlight: options.inFlight,
       requestsPerSecond: Math.round(counts.served / options.seconds),
       failed: counts.failed,
-      processorMsPerRequest: rounded(processorSeconds * 1000 / counts.served),
-      tokensPerRequest: rounded(counts.tokens / counts.served),
-      coreShare: rounded(processorSeconds / options.seconds),
+      processorMsPerRequest: figures.rounded(processorSeconds * 1000 / counts.served, 3),
+      tokensPerRequest: figures.rounded(counts.tokens / counts.served, 3),
+      coreShare: figures.rounded(processorSeconds / options.seconds, 3),
       firstTokenMs: histogram.quantiles(),
       residentMegabytes: Math.round(after.residentMegabytes)
     }
@@ -103,10 +104,10 @@
 
 /** Figures of one router, a second. Bytes are of both directions, each counted at the router that opened the connection. */
 function difference (before: Snapshot, after: Snapshot, routers: number, seconds: number): object {
-  const perRouterSecond = (value: number): number => rounded(value / routers / seconds)
+  const perRouterSecond = (value: number): number => figures.rounded(value / routers / seconds, 3)
   const calls = Object.entries(after.platformCalls).map(([kind, count]) => [kind, perRouterSecond(count - before.platformCalls[kind])])
   return {
-    coreSharePercent: rounded((after.processorSeconds - before.processorSeconds) / routers / seconds * 100),
+    coreSharePercent: figures.rounded((after.processorSeconds - before.processorSeconds) / routers / seconds * 100, 3),
     residentMegabytes: Math.round(after.residentMegabytes),
     peerBytesPerSecond: perRouterSecond(after.peerBytes - before.peerBytes),
     platformBytesPerSecond: perRouterSecond(after.platformBytes - before.platformBytes),
@@ -157,7 +158,3 @@
 function sum (values: number[]): number {
   return values.reduce((total, value) => total + value, 0)
 }
-
-function rounded (value: number): number {
-  return Math.round(value * 1000) / 1000
-}
--- a/packages/proving/src/gateway-experiment.ts
+++ b/packages/proving/src/gateway-experiment.ts
@@ -1,4 +1,5 @@
 import * as decisions from '@acaciaweir/decisions'
+import * as figures from './figures.js'
 import * as callers from './soak-callers.js'
 import * as usage from './process-usage.js'
 import * as fleets from './soak-fleet.js'
@@ -60,9 +61,5 @@
 
 function summary (values: readonly number[]): { mean: number, most: number } {
   const mean = values.reduce((sum, value) => sum + value, 0) / values.length
-  return { mean: rounded(mean), most: rounded(Math.max(...values)) }
-}
-
-function rounded (value: number): number {
-  return Math.round(value * 10_000) / 10_000
+  return { mean: figures.rounded(mean, 4), most: figures.rounded(Math.max(...values), 4) }
 }
--- a/packages/proving/src/latency-experiment.ts
+++ b/packages/proving/src/latency-experiment.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http'
 import * as timers from 'node:timers/promises'
+import * as figures from './figures.js'
 import * as examples from './example-manifest.js'
 import * as fleets from './fleet.js'
 import * as histograms from './histograms.js'
@@ -90,11 +91,7 @@
   const added = (name: 'first' | 'gap' | 'total'): Record<string, number> => {
     const routed = arms.routed[name].quantiles()
     const direct = arms.direct[name].quantiles()
-    return { p50: rounded(routed.p50 - direct.p50), p99: rounded(routed.p99 - direct.p99), routedP95: rounded(routed.p95) }
+    return { p50: figures.rounded(routed.p50 - direct.p50, 2), p99: figures.rounded(routed.p99 - direct.p99, 2), routedP95: figures.rounded(routed.p95, 2) }
   }
   return { failed: arms.routed.failed, addedFirstTokenMs: added('first'), addedBetweenTokensMs: added('gap'), addedTotalMs: added('total') }
 }
-
-function rounded (value: number): number {
-  return Math.round(value * 100) / 100
-}
--- a/packages/proving/src/routing-experiment.ts
+++ b/packages/proving/src/routing-experiment.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http'
 import * as timers from 'node:timers/promises'
 import * as examples from './example-manifest.js'
+import * as figures from './figures.js'
 import * as fleets from './fleet.js'
 import * as histograms from './histograms.js'
 import * as probes from './probe-request.js'
@@ -95,5 +96,5 @@
   const counts = served.map((runs) => runs.length)
   const mean = counts.reduce((total, count) => total + count, 0) / counts.length
   const reused = served.flat().filter((run) => (run as { prefixReused?: boolean }).prefixReused === true).length
-  return { imbalance: Math.round(Math.max(...counts) / mean * 100) / 100, prefixReuse: Math.round(reused / (mean * counts.length) * 1000) / 1000 }
+  return { imbalance: figures.rounded(Math.max(...counts) / mean, 2), prefixReuse: figures.rounded(reused / (mean * counts.length), 3) }
 }
