--- a/packages/command-line/test/program.test.ts
+++ b/packages/command-line/test/program.test.ts
@@ -81,7 +81,7 @@
   }
 
   it('says that the platform is unreachable', async () => {
-    server.faultSwitch.faults.down = true
+    server.fault = standIns.publishedStore.StoreFault.reset
     chai.expect(await run('show')).to.equal(4)
   })
 })
--- a/packages/stand-ins/src/published-store.ts
+++ b/packages/stand-ins/src/published-store.ts
@@ -109,7 +109,7 @@
     const { delayMs } = this.faultSwitch.faults
     if (delayMs > 0) await timers.setTimeout(delayMs)
     if (this.fault === StoreFault.silent) return
-    if (this.#isDown()) { message.socket.resetAndDestroy(); return }
+    if (this.fault === StoreFault.reset) { message.socket.resetAndDestroy(); return }
     if (this.fault === StoreFault.busy) { send(response, 503, {}); return }
     if (root !== 'objects' || kind === undefined) { send(response, 404, {}); return }
     if (message.method === 'GET') { await this.#get(url, kind, name, response); return }
@@ -118,12 +118,12 @@
     send(response, status, answer)
   }
 
-  #isDown (): boolean {
-    return this.fault === StoreFault.reset || this.faultSwitch.faults.down
-  }
-
   #administer (command: string, body: string): object {
-    if (command === 'faults') Object.assign(this.faultSwitch.faults, JSON.parse(body))
+    if (command === 'faults') {
+      const { down, ...faults } = JSON.parse(body) as Partial<storeFaults.StoreFaults> & { down?: boolean }
+      Object.assign(this.faultSwitch.faults, faults)
+      if (down !== undefined) this.fault = down ? StoreFault.reset : StoreFault.none
+    }
     if (command === 'listed') {
       const { kind, name, leaving } = JSON.parse(body) as { kind: keyof typeof LISTED_KINDS, name: string, leaving: boolean }
       setTimeout(() => { this.put(LISTED_KINDS[kind], name, { leaving }) }, this.faultSwitch.faults.hostListLagMs)
@@ -161,7 +161,7 @@
       }
       await this.#changeOr(left)
       if (this.fault === StoreFault.silent) return
-      if (this.#isDown()) { response.socket?.destroy(); return }
+      if (this.fault === StoreFault.reset) { response.socket?.destroy(); return }
     }
   }
 
--- a/packages/stand-ins/src/store-faults.ts
+++ b/packages/stand-ins/src/store-faults.ts
@@ -1,11 +1,9 @@
 import * as decisions from '@acaciaweir/decisions'
 
-/** Faults of the stand-in store that are switched while it runs as a process of its own. */
+/** Faults of the stand-in store that go beside its usual service. */
 export interface StoreFaults {
   /** Added to each call, in milliseconds. */
   delayMs: number
-  /** Resets every connection. */
-  down: boolean
   /** Share of writes, from 0 to 1, whose answer is dropped after the write took effect. */
   lostAnswerShare: number
   /** Watches wake only when their time is over. */
@@ -16,7 +14,7 @@
 
 /** Faults of one store, with the chance that they need. */
 export class StoreFaultSwitch {
-  readonly faults: StoreFaults = { delayMs: 0, down: false, lostAnswerShare: 0, watchGap: false, hostListLagMs: 0 }
+  readonly faults: StoreFaults = { delayMs: 0, lostAnswerShare: 0, watchGap: false, hostListLagMs: 0 }
   readonly #random: decisions.random.RandomSource
 
   constructor (seed: number) {
