--- a/packages/decisions/src/token-holders.ts
+++ b/packages/decisions/src/token-holders.ts
@@ -1,8 +1,6 @@
+import * as fleetSize from './fleet-size.js'
 import * as hashing from './hashing.js'
 
-/** Largest fleet in which every router draws from the page for itself. */
-const SMALL_FLEET = 12
-
 /** Routers of a larger fleet that draw tokens from the page. Writes of as many seldom meet on the page. */
 const DRAWING_ROUTERS = 24
 
@@ -34,7 +32,7 @@
  * availability zones draw, as most requests of the others ask them.
  */
 export function tokenHolders (account: string, self: string, routers: readonly HolderCandidate[]): TokenHolders {
-  if (routers.length <= SMALL_FLEET) return { names: routers.map((router) => router.name), everyone: true }
+  if (routers.length <= fleetSize.SMALL_FLEET) return { names: routers.map((router) => router.name), everyone: true }
   const names = hashing.rendezvousOrder(drawingRouters(routers), account, (name) => name).slice(0, HOLDERS_AN_ACCOUNT)
   const first = hashing.hashText(self) % names.length
   return { names: [...names.slice(first), ...names.slice(0, first)], everyone: false }
--- a/packages/decisions/src/watch-duty.ts
+++ b/packages/decisions/src/watch-duty.ts
@@ -1,3 +1,4 @@
+import * as fleetSize from './fleet-size.js'
 import * as hashing from './hashing.js'
 
 /** A router that may watch the store for others. */
@@ -8,9 +9,6 @@
   storeSilenceMs: number
 }
 
-/** Largest fleet in which every router watches the store itself. */
-const SMALL_FLEET = 12
-
 /** Routers of each availability zone that watch the store for the others of a larger fleet. */
 const WATCHERS_A_ZONE = 3
 
@@ -23,7 +21,7 @@
  * answer is replaced by the next one.
  */
 export function hasWatchDuty (self: Watcher, others: readonly Watcher[]): boolean {
-  if (others.length < SMALL_FLEET) return true
+  if (others.length < fleetSize.SMALL_FLEET) return true
   const reached = others.filter((other) => other.availabilityZone === self.availabilityZone && other.storeSilenceMs <= OUT_OF_REACH_MS)
   const order = hashing.rendezvousOrder([self, ...reached], self.availabilityZone, (watcher) => watcher.name)
   return order.indexOf(self) < WATCHERS_A_ZONE
--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -1,4 +1,4 @@
-import type * as decisions from '@acaciaweir/decisions'
+import * as decisions from '@acaciaweir/decisions'
 import type * as routers from '@acaciaweir/routers'
 import * as configurations from './configuration-watch.js'
 import type * as fleetViews from './fleet-view.js'
@@ -6,9 +6,6 @@
 import type * as targetWatches from './target-watch.js'
 import type * as tokenTasks from './token-task.js'
 
-/** Largest fleet whose gateways tell each other what they hold, account by account. */
-const MOST_TOLD_TOKENS = 12
-
 /** Least time between two sums of the other gateways' work, in milliseconds. A sum goes through all of them. */
 const WORK_INTERVAL_MS = 50
 
@@ -48,7 +45,7 @@
 
   heartbeat (): Omit<routers.gatewayMessages.GatewayHeartbeat, 'sequence' | 'asksForAnswer'> {
     const { board, clock, configuration, peers, targets, tokens, view } = this.#options
-    const isTold = view.gateways() <= MOST_TOLD_TOKENS
+    const isTold = view.gateways() <= decisions.fleetSize.SMALL_FLEET
     return {
       sender: this.#options.member(),
       heard: peers.heard(clock.now()),
--- a/packages/gateway/src/peer-table.ts
+++ b/packages/gateway/src/peer-table.ts
@@ -62,8 +62,7 @@
     for (const heard of heartbeat.heard) {
       this.add(heard.peerAddress, now)
       const peer = this.#peers.get(heard.peerAddress)
-      if (peer === undefined) continue
-      peer.heardAt = Math.max(peer.heardAt, now - heard.ageMs)
+      if (peer !== undefined) peer.heardAt = Math.max(peer.heardAt, now - heard.ageMs)
     }
     return !wasLive
   }
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -10,9 +10,6 @@
 /** Time between two rounds of heartbeats, in milliseconds. */
 const EXCHANGE_INTERVAL_MS = 300
 
-/** Largest fleet in which each gateway exchanges with all others in each round. */
-const SMALL_FLEET = 12
-
 /** Gateways exchanged with in one round of a larger fleet. */
 const EXCHANGES_A_ROUND = 2
 
@@ -155,7 +152,7 @@
 
   #nextRound (): string[] {
     const addresses = this.#options.table.addresses(this.#options.clock.now())
-    if (addresses.length <= SMALL_FLEET) return addresses
+    if (addresses.length <= decisions.fleetSize.SMALL_FLEET) return addresses
     const round: string[] = []
     for (let count = 0; count < EXCHANGES_A_ROUND; count++) {
       round.push(addresses[this.#next % addresses.length])
