--- a/packages/gateway/src/fleet-view.ts
+++ b/packages/gateway/src/fleet-view.ts
@@ -1,14 +1,14 @@
 import * as decisions from '@acaciaweir/decisions'
 import type * as routers from '@acaciaweir/routers'
 import type * as peerTables from './peer-table.js'
-import * as tokenTasks from './token-task.js'
+import * as tokenTypes from './token-types.js'
 
 /** Time for which the chosen holders of an account are kept, in milliseconds: that between two rounds of heartbeats. */
 const CHOSEN_FOR_MS = 300
 
 interface ChosenHolders {
   chosenAt: number
-  holders: tokenTasks.AccountHolders
+  holders: tokenTypes.AccountHolders
 }
 
 /** What this gateway can tell of the fleet from the heartbeats that it heard. */
@@ -41,23 +41,23 @@
   }
 
   /** Who draws an account's tokens. In a large fleet chosen anew only now and then, as ordering it takes a while. */
-  holders (account: string): tokenTasks.AccountHolders {
+  holders (account: string): tokenTypes.AccountHolders {
     const now = this.#clock.now()
     const known = this.#holders.get(account)
     if (known !== undefined && now - known.chosenAt < CHOSEN_FOR_MS) return known.holders
     const holders = this.#chooseHolders(account)
-    if (holders.role === tokenTasks.TokenRole.peer) this.#holders.clear()
+    if (holders.role === tokenTypes.TokenRole.peer) this.#holders.clear()
     else this.#holders.set(account, { chosenAt: now, holders })
     return holders
   }
 
-  #chooseHolders (account: string): tokenTasks.AccountHolders {
+  #chooseHolders (account: string): tokenTypes.AccountHolders {
     const byHost = new Map(this.#live().filter(({ sender }) => !sender.leaving).map((heartbeat) => [heartbeat.sender.host, heartbeat]))
     const candidates = [...byHost.values()].map(({ sender }) => ({ name: sender.host, availabilityZone: sender.availabilityZone, processorShare: sender.processorShare }))
     const { names, everyone } = decisions.tokenHolders.tokenHolders(account, this.#self.name, [this.#self, ...candidates])
     const others = names.map((name) => byHost.get(name)).filter((heartbeat) => heartbeat !== undefined)
     return {
-      role: everyone ? tokenTasks.TokenRole.peer : names.includes(this.#self.name) ? tokenTasks.TokenRole.holder : tokenTasks.TokenRole.borrower,
+      role: everyone ? tokenTypes.TokenRole.peer : names.includes(this.#self.name) ? tokenTypes.TokenRole.holder : tokenTypes.TokenRole.borrower,
       others: others.map(({ sender, freeTokens, spending }) => ({
         peerAddress: sender.peerAddress,
         freeTokens: everyone ? freeTokens[account] ?? 0 : undefined,
--- a/packages/gateway/test/budget-load.test.ts
+++ b/packages/gateway/test/budget-load.test.ts
@@ -4,6 +4,7 @@
 import * as stores from './one-page-store.js'
 import * as tokenPages from '../src/token-pages.js'
 import * as tokenTasks from '../src/token-task.js'
+import * as tokenTypes from '../src/token-types.js'
 
 const { expect } = chai
 
@@ -84,11 +85,11 @@
     this.served += 1
   }
 
-  #holdersFor (account: string, index: number): tokenTasks.AccountHolders {
+  #holdersFor (account: string, index: number): tokenTypes.AccountHolders {
     const { names, everyone } = decisions.tokenHolders.tokenHolders(account, String(index), Array.from({ length: this.#gateways }, (_value, position) => ({ name: String(position), availabilityZone: String(position % 3), processorShare: 1 })))
     const own = names.includes(String(index))
     return {
-      role: everyone ? tokenTasks.TokenRole.peer : own ? tokenTasks.TokenRole.holder : tokenTasks.TokenRole.borrower,
+      role: everyone ? tokenTypes.TokenRole.peer : own ? tokenTypes.TokenRole.holder : tokenTypes.TokenRole.borrower,
       others: names.filter((name) => name !== String(index)).map((name) => ({ peerAddress: name, freeTokens: everyone ? this.#holders[Number(name)].pool.free(account) : undefined, spending: everyone ? this.#holders[Number(name)].pool.rate(account, this.#clock.time / 1000) : undefined }))
     }
   }
--- a/packages/gateway/test/token-task.test.ts
+++ b/packages/gateway/test/token-task.test.ts
@@ -4,9 +4,10 @@
 import * as stores from './one-page-store.js'
 import * as tokenPages from '../src/token-pages.js'
 import * as tokenTasks from '../src/token-task.js'
+import * as tokenTypes from '../src/token-types.js'
 
 const { expect } = chai
-const { TokenRole } = tokenTasks
+const { TokenRole } = tokenTypes
 
 const TOTAL = 100_000
 const HOLDER = '10.0.0.9:1'
