Draw no tokens after the end of the task that keeps them

Found by reading: since the pause comes before the balance, the end of the pause at stop was followed by one more draw from the page. A process that shuts down hands its tokens back first and draws nothing then, so only gateways inside another process were concerned. The test saw the draw before.

--- a/packages/gateway/src/token-task.ts
+++ b/packages/gateway/src/token-task.ts
@@ -158,8 +158,9 @@
   }
 
   async #run (): Promise<void> {
-    while (!this.#stop.signal.aborted) {
+    for (;;) {
       await this.#options.clock.sleep(this.#nextPauseMs(), this.#stop.signal)
+      if (this.#stop.signal.aborted) return
       await this.balance()
     }
   }
--- a/packages/gateway/test/token-task.test.ts
+++ b/packages/gateway/test/token-task.test.ts
@@ -20,9 +20,8 @@
   readonly transfers: number[] = []
   readonly returned: Array<[account: string, tokens: number]> = []
 
-  constructor (heldByHolder: number) {
+  constructor (heldByHolder: number, clock = new stores.StepClock() as decisions.clock.Clock) {
     let held = heldByHolder
-    const clock = new stores.StepClock() as decisions.clock.Clock
     const logger = runtime.logging.createLogger('silent')
     const totals = (): tokenPages.PrepaidTotals => ({ version: 1, totals: { drawn: TOTAL, borrowed: TOTAL } })
     const shared = { clock, logger, totals, gateways: () => 70 }
@@ -59,6 +58,14 @@
     expect(gateway.returned).to.deep.equal([['borrowed', 5000]])
   })
 
+  it('draws nothing once it is stopped, also where it was about to', async () => {
+    const gateway = new LargeFleetGateway(0, new runtime.systemClock.SystemClock())
+    gateway.task.start()
+    gateway.task.stop()
+    await new Promise<void>((resolve) => { setTimeout(resolve, 50) })
+    expect(gateway.drawn).to.deep.equal({})
+  })
+
   const bursts: Array<{ name: string, requests: number, held: number, reserved: number }> = [
     { name: 'borrows for all requests that wait at once', requests: 8, held: 10_000, reserved: 8 },
     { name: 'serves as many as what a holder has is enough for', requests: 8, held: 3500, reserved: 3 }
