Log and measure how long a request waited to be read, and its caller

The age of data on a socket cannot be read in Node, but data read in one iteration of the event loop arrived after the poll of the iteration before, unless the loop was idle in between. Request lines now have caller, requestOnConnection and readDelayMs, and acaciaweir_read_delay_seconds is their histogram. No decision uses them yet.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -15,7 +15,7 @@
   rank: number
   body: Buffer
   agreementVersion: number
-  arrivedAt: number
+  arrival: Arrival
   /** Time by which the gateway must send the final answer. */
   deadlineAt: number
   /** Aborted when the caller disconnects or the deadline passes. */
@@ -33,6 +33,18 @@
   span: api.Span
 }
 
+/** Where a request came from and when. */
+export interface Arrival {
+  /** Clock time at which the head of the request was read, in milliseconds. */
+  at: number
+  /** IP address of the caller; undefined if the connection is closed. */
+  caller: string | undefined
+  /** Position of the request among those of its connection, from 1. */
+  requestOnConnection: number
+  /** Longest time for which the request can have waited to be read, in milliseconds. */
+  readDelayMs: number
+}
+
 /** Log record of sending a request to one target. */
 export interface SendRecord {
   target: string
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -2,6 +2,7 @@
 import * as adapter from '@acaciaweir/platform-adapter'
 import * as runtime from '@acaciaweir/runtime'
 import * as http from 'node:http'
+import type * as net from 'node:net'
 import * as answers from './answers.js'
 import type * as calls from './call.js'
 import type * as logs from './decision-log.js'
@@ -39,6 +40,8 @@
 export class CallerServer {
   readonly #options: CallerServerOptions
   readonly #server: http.Server
+  readonly #readDelayMeter = new runtime.readDelay.ReadDelayMeter()
+  readonly #requestsOnConnection = new WeakMap<net.Socket, number>()
   #inProgress = 0
   #isLeaving = false
 
@@ -87,10 +90,10 @@
 
   async #handle (message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     this.#inProgress += 1
-    const arrivedAt = this.#options.clock.now()
+    const arrival = this.#recordArrival(message)
     if (this.#isLeaving) response.setHeader('connection', 'close')
     try {
-      await this.#serve(message, response, arrivedAt)
+      await this.#serve(message, response, arrival)
     } catch (error) {
       this.#options.logger.error({ event: 'request-error', request: adapter.callerRequest.attemptIdForLog(message), reason: (error as Error).stack })
       answers.sendRefusal(response, { status: 500, reason: 'internal error' })
@@ -99,17 +102,25 @@
     }
   }
 
-  async #serve (message: http.IncomingMessage, response: http.ServerResponse, arrivedAt: number): Promise<void> {
+  #recordArrival (message: http.IncomingMessage): calls.Arrival {
+    const readDelayMs = this.#readDelayMeter.measure()
+    this.#options.metrics.observeReadDelay(readDelayMs / 1000)
+    const requestOnConnection = (this.#requestsOnConnection.get(message.socket) ?? 0) + 1
+    this.#requestsOnConnection.set(message.socket, requestOnConnection)
+    return { at: this.#options.clock.now(), caller: message.socket.remoteAddress, requestOnConnection, readDelayMs }
+  }
+
+  async #serve (message: http.IncomingMessage, response: http.ServerResponse, arrival: calls.Arrival): Promise<void> {
     const table = this.#options.routeTable()
-    const admission = this.#admit(message, table, arrivedAt)
+    const admission = this.#admit(message, table)
     if ('status' in admission) {
-      this.#refuse(message, response, admission, arrivedAt, table)
+      this.#refuse(message, response, admission, arrival, table)
       return
     }
     const { request, route, account } = admission
     const body = await readBody(message, admission.limits.bodyBytes)
     if (body === undefined) {
-      this.#refuse(message, response, { status: 413, reason: 'the body is too large' }, arrivedAt, table)
+      this.#refuse(message, response, { status: 413, reason: 'the body is too large' }, arrival, table)
       return
     }
     const timeoutMs = Math.min(request.remainingMs ?? Infinity, route.timeoutMs)
@@ -123,8 +134,8 @@
       service: decisions.routeTable.pickService(route, this.#options.random),
       rank: account?.rank ?? route.rank,
       agreementVersion: admission.version,
-      arrivedAt,
-      deadlineAt: arrivedAt + timeoutMs - DEADLINE_MARGIN_MS,
+      arrival,
+      deadlineAt: arrival.at + timeoutMs - DEADLINE_MARGIN_MS,
       abortController: new AbortController(),
       abortReason: undefined,
       sends: [],
@@ -155,7 +166,7 @@
     }
   }
 
-  #admit (message: http.IncomingMessage, table: decisions.routeTable.RouteTable | undefined, arrivedAt: number): AdmittedRequest | calls.Refusal {
+  #admit (message: http.IncomingMessage, table: decisions.routeTable.RouteTable | undefined): AdmittedRequest | calls.Refusal {
     if (table === undefined) return { status: 503, reason: 'no agreement is known yet', retryAfterMs: NOT_READY_RETRY_AFTER_MS }
     if (headerSizeBytes(message) > table.agreement.limits.headerBytes) return { status: 431, reason: 'the headers are too large' }
     let request: adapter.callerRequest.CallerRequest
@@ -181,7 +192,7 @@
     return { status: 503, reason: `${reason} as far as known; the store has been out of reach`, retryAfterMs: NOT_READY_RETRY_AFTER_MS }
   }
 
-  #refuse (message: http.IncomingMessage, response: http.ServerResponse, refusal: calls.Refusal, arrivedAt: number, table: decisions.routeTable.RouteTable | undefined): void {
+  #refuse (message: http.IncomingMessage, response: http.ServerResponse, refusal: calls.Refusal, arrival: calls.Arrival, table: decisions.routeTable.RouteTable | undefined): void {
     answers.sendRefusal(response, refusal)
     message.resume()
     this.#options.metrics.observeRequest('none', `refused-${refusal.status}`, 0)
@@ -192,12 +203,13 @@
       reason: refusal.reason,
       agreementVersion: table?.agreement.version,
       agreementAgeMs: Math.round(this.#options.agreementAgeMs()),
-      totalMs: Math.round(this.#options.clock.now() - arrivedAt)
+      ...arrivalForLog(arrival),
+      totalMs: Math.round(this.#options.clock.now() - arrival.at)
     })
   }
 
   #recordOutcome (call: calls.Call, outcome: string): void {
-    const totalMs = this.#options.clock.now() - call.arrivedAt
+    const totalMs = this.#options.clock.now() - call.arrival.at
     this.#options.metrics.observeRequest(call.route.name, outcome, totalMs / 1000)
     this.#options.decisionLog.write({
       event: 'request-ended',
@@ -213,9 +225,10 @@
       outputTokens: call.request.maximumOutputTokens,
       budget: call.budget,
       waitsMs: call.request.remainingMs,
+      ...arrivalForLog(call.arrival),
       sends: call.sends,
       events: call.events,
-      firstEventMs: call.firstEventAt === undefined ? undefined : Math.round(call.firstEventAt - call.arrivedAt),
+      firstEventMs: call.firstEventAt === undefined ? undefined : Math.round(call.firstEventAt - call.arrival.at),
       totalMs: Math.round(totalMs)
     })
   }
@@ -229,6 +242,10 @@
   version: number
 }
 
+function arrivalForLog ({ caller, requestOnConnection, readDelayMs }: calls.Arrival): Record<string, unknown> {
+  return { caller, requestOnConnection, readDelayMs: Math.round(readDelayMs) }
+}
+
 /** Returns the size of the headers on the wire, including separators and line ends. */
 function headerSizeBytes (message: http.IncomingMessage): number {
   return message.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -20,6 +20,7 @@
   readonly #requests: metrics.Counter
   readonly #requestSeconds: metrics.Histogram
   readonly #firstEventSeconds: metrics.Histogram
+  readonly #readDelaySeconds: metrics.Histogram
 
   constructor (source: GaugeSource) {
     const registers = [this.#server.registry]
@@ -27,6 +28,7 @@
     this.#requests = new metrics.Counter({ name: 'acaciaweir_requests_total', help: 'Requests by route and outcome', labelNames: ['route', 'outcome'], registers })
     this.#requestSeconds = new metrics.Histogram({ name: 'acaciaweir_request_seconds', help: 'Time to the end of the answer', buckets, registers })
     this.#firstEventSeconds = new metrics.Histogram({ name: 'acaciaweir_first_event_seconds', help: 'Time to the first event of a stream', buckets, registers })
+    this.#readDelaySeconds = new metrics.Histogram({ name: 'acaciaweir_read_delay_seconds', help: 'Longest time for which a request can have waited to be read', buckets, registers })
     this.#server.addGauge('acaciaweir_requests_in_progress', 'Requests in progress', source.requestsInProgress)
     this.#server.addGauge('acaciaweir_agreement_version', 'Version of the agreement in force', source.agreementVersion)
     this.#server.addGauge('acaciaweir_live_peers', 'Other gateways heard lately', source.livePeers)
@@ -44,6 +46,10 @@
     this.#firstEventSeconds.observe(seconds)
   }
 
+  observeReadDelay (seconds: number): void {
+    this.#readDelaySeconds.observe(seconds)
+  }
+
   listen (port: number, address: string): Promise<number> {
     return this.#server.listen(port, address)
   }
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -233,7 +233,7 @@
     if (call.route.streaming && isSuccess(answer.status)) {
       const relay = new relays.StreamRelay(call, answer, this.#options.clock, () => {
         onPromptRead()
-        this.#options.onFirstEvent(this.#options.clock.now() - call.arrivedAt)
+        this.#options.onFirstEvent(this.#options.clock.now() - call.arrival.at)
       })
       const outcome = await relay.run(response)
       if (outcome.kind !== 'answered') sendController.abort()
