--- a/packages/stand-ins/src/caller-client.ts
+++ b/packages/stand-ins/src/caller-client.ts
@@ -39,10 +39,10 @@
 }
 
 /**
- * Sends one request on a new connection: a POST with a body, a GET without. Does not reject: a failed request resolves with
- * status 0, or with `isWhole` false if the answer broke off.
+ * Sends one request on a new connection: a POST with a body, a GET without. Closes the connection if the answer is not complete after
+ * `patienceMs`. Does not reject: a failed request resolves with status 0, or with `isWhole` false if the answer broke off.
  */
-export function send (address: string, path: string, headers: Record<string, string>, body = ''): Promise<CallerAnswer> {
+export function send (address: string, path: string, headers: Record<string, string>, body = '', patienceMs = Infinity): Promise<CallerAnswer> {
   return new Promise((resolve) => {
     const method = body === '' ? 'GET' : 'POST'
     const noAnswer: CallerAnswer = { status: 0, headers: {}, body: '', isWhole: false }
@@ -55,6 +55,10 @@
       response.on('error', () => { finish(false) })
     })
     request.on('error', (error) => { resolve({ ...noAnswer, body: error.message }) })
+    if (patienceMs < Infinity) {
+      const timer = setTimeout(() => { request.destroy(new Error('gave up')) }, patienceMs)
+      request.on('close', () => { clearTimeout(timer) })
+    }
     request.end(body)
   })
 }
