Keep an overloaded gateway reading, and reject what it cannot start in time

What callers saw: on one busy gateway requests got no answer until they gave up, and for 13 s after that the gateway sent them on all the same. New connections were not accepted for over 4 s though the gateway said that it was ready.

Cause: a gateway started every request in the callback that read it, at full cost. The event loop accepts one connection in an iteration, and the iterations of a gateway without enough processor time are long: new connections, which are what callers open after they have given up, waited in the accept queue, in order of arrival and without a bound. Most of those that it read belonged to callers that had left, which the gateway learned only after it had sent the request on. Its time limits counted from the read. The class: an unbounded queue in front of admission, whose age nobody knows.

Now reading is cheap and requests are started in turns of 10 ms, after one more poll has told whether the caller has left. A turn gives way to connections that are waiting, a request that has waited for 250 ms is rejected with 503 and Retry-After, and connections that keep waiting for 300 ms are closed unread, which callers may repeat elsewhere.

--- /dev/null
+++ b/packages/gateway/src/admission-queue.ts
@@ -0,0 +1,122 @@
+import type * as decisions from '@acaciaweir/decisions'
+
+/** Longest time for which one turn starts requests before the event loop polls again, in milliseconds. */
+const TURN_MS = 10
+
+/** Longest wait of a request in the queue, in milliseconds. A request that waits longer is rejected. */
+const MAXIMUM_WAIT_MS = 250
+
+/** Longest time for which waiting connections delay the requests of accepted ones, in milliseconds. */
+const MAXIMUM_ACCEPT_PRIORITY_MS = 50
+
+/** Time for which connections may be waiting without a gap before further ones are refused, in milliseconds. */
+const MAXIMUM_ACCEPT_BACKLOG_MS = 300
+
+/** A request that has been read but not started. */
+export interface WaitingRequest {
+  /** Returns true if the caller has closed its connection. */
+  hasLeft: () => boolean
+  start: () => void
+  /** Answers that the request was not run, because the gateway is overloaded. */
+  reject: () => void
+  drop: () => void
+}
+
+interface Entry {
+  request: WaitingRequest
+  queuedAt: number
+  /** Turn during which the request was queued. */
+  turn: number
+}
+
+/**
+ * Starts requests between two polls of the event loop, a few at a time, so that an overloaded gateway keeps reading and accepting. The
+ * event loop accepts one connection in each iteration, so long iterations would leave callers waiting in the accept queue.
+ */
+export class AdmissionQueue {
+  readonly #clock: decisions.clock.Clock
+  /** Called with true when new connections are to be refused, and with false when they are to be accepted again. */
+  readonly #setRefusesConnections: (refuses: boolean) => void
+  /** Requests in order of arrival. */
+  #entries: Entry[] = []
+  #turn = 0
+  #isScheduled = false
+  #hasNewConnection = false
+  #lastStartAt = -Infinity
+  #acceptBacklogSince: number | undefined
+  #refusesConnections = false
+
+  constructor (clock: decisions.clock.Clock, setRefusesConnections: (refuses: boolean) => void) {
+    this.#clock = clock
+    this.#setRefusesConnections = setRefusesConnections
+  }
+
+  get length (): number {
+    return this.#entries.length
+  }
+
+  push (request: WaitingRequest): void {
+    this.#entries.push({ request, queuedAt: this.#clock.now(), turn: this.#turn })
+    this.#schedule()
+  }
+
+  /** Call it for each new connection, accepted or refused. */
+  recordConnection (): void {
+    this.#hasNewConnection = true
+    this.#acceptBacklogSince ??= this.#clock.now()
+    this.#schedule()
+  }
+
+  #schedule (): void {
+    if (this.#isScheduled) return
+    this.#isScheduled = true
+    setImmediate(() => {
+      this.#isScheduled = false
+      this.#runTurn()
+    })
+  }
+
+  #runTurn (): void {
+    const now = this.#clock.now()
+    const hasAcceptBacklog = this.#hasNewConnection
+    this.#hasNewConnection = false
+    if (!hasAcceptBacklog) this.#acceptBacklogSince = undefined
+    this.#updateConnections(now)
+    if (!hasAcceptBacklog || now - this.#lastStartAt > MAXIMUM_ACCEPT_PRIORITY_MS) this.#startRequests(now)
+    this.#turn += 1
+    if (hasAcceptBacklog || this.#entries.length > 0) this.#schedule()
+  }
+
+  #updateConnections (now: number): void {
+    const refuses = this.#acceptBacklogSince !== undefined && now - this.#acceptBacklogSince > MAXIMUM_ACCEPT_BACKLOG_MS
+    if (refuses === this.#refusesConnections) return
+    this.#refusesConnections = refuses
+    this.#setRefusesConnections(refuses)
+  }
+
+  /** Ends the requests that have waited too long or whose callers have left, and starts others, newest first. */
+  #startRequests (now: number): void {
+    this.#lastStartAt = now
+    this.#endHopelessRequests(now)
+    // A request waits for one poll, which tells whether its caller has left.
+    const isReady = (entry: Entry | undefined): entry is Entry => entry !== undefined && entry.turn < this.#turn
+    const unready = this.#entries.filter((entry) => !isReady(entry))
+    const ready = this.#entries.filter(isReady)
+    while (ready.length > 0 && this.#clock.now() - now < TURN_MS) {
+      const entry = ready.pop()
+      entry?.request.start()
+    }
+    this.#entries = [...ready, ...unready]
+  }
+
+  #endHopelessRequests (now: number): void {
+    const remaining: Entry[] = []
+    for (const entry of this.#entries) {
+      if (this.#clock.now() - now > TURN_MS / 2) remaining.push(entry)
+      else if (entry.request.hasLeft()) entry.request.drop()
+      else if (now - entry.queuedAt > MAXIMUM_WAIT_MS) entry.request.reject()
+      else remaining.push(entry)
+    }
+    this.#entries = remaining
+  }
+}
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -43,6 +43,8 @@
   requestOnConnection: number
   /** Longest time for which the request can have waited to be read, in milliseconds. */
   readDelayMs: number
+  /** Time from the read until the request was started, in milliseconds. */
+  queuedMs: number
 }
 
 /** Log record of sending a request to one target. */
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -3,6 +3,7 @@
 import * as runtime from '@acaciaweir/runtime'
 import * as http from 'node:http'
 import type * as net from 'node:net'
+import * as admissionQueues from './admission-queue.js'
 import * as answers from './answers.js'
 import type * as calls from './call.js'
 import type * as logs from './decision-log.js'
@@ -24,6 +25,9 @@
 /** Retry-after delay while the gateway has no agreement, or one too old to refuse for good, in milliseconds. */
 const NOT_READY_RETRY_AFTER_MS = 500
 
+/** Mean retry-after delay of requests that an overloaded gateway rejects, in milliseconds. */
+const OVERLOAD_RETRY_AFTER_MS = 800
+
 export interface CallerServerOptions {
   clock: decisions.clock.Clock
   random: decisions.random.RandomSource
@@ -42,13 +46,20 @@
   readonly #server: http.Server
   readonly #readDelayMeter = new runtime.readDelay.ReadDelayMeter()
   readonly #requestsOnConnection = new WeakMap<net.Socket, number>()
+  readonly #queue: admissionQueues.AdmissionQueue
   #inProgress = 0
   #isLeaving = false
 
   constructor (options: CallerServerOptions) {
     this.#options = options
     const serverOptions = { maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS }
-    this.#server = http.createServer(serverOptions, (message, response) => { void this.#handle(message, response) })
+    this.#server = http.createServer(serverOptions, (message, response) => { this.#enqueue(message, response) })
+    this.#queue = new admissionQueues.AdmissionQueue(options.clock, (refuses) => { this.#setRefusesConnections(refuses) })
+    this.#server.on('connection', () => { this.#queue.recordConnection() })
+    this.#server.on('drop', () => {
+      this.#queue.recordConnection()
+      options.metrics.countRefusedConnection()
+    })
   }
 
   get inProgress (): number {
@@ -88,9 +99,36 @@
     this.#server.closeAllConnections()
   }
 
-  async #handle (message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+  /** Makes the server close new connections at once instead of accepting them. Their callers have sent nothing that was read. */
+  #setRefusesConnections (refuses: boolean): void {
+    this.#server.maxConnections = refuses ? 1 : Infinity
+    this.#options.logger.warn({ event: refuses ? 'connections-refused' : 'connections-accepted', waitingRequests: this.#queue.length, inProgress: this.#inProgress })
+  }
+
+  #enqueue (message: http.IncomingMessage, response: http.ServerResponse): void {
     this.#inProgress += 1
     const arrival = this.#recordArrival(message)
+    this.#queue.push({
+      hasLeft: () => message.socket.destroyed || message.socket.readableEnded,
+      start: () => { void this.#handle(message, response, arrival) },
+      reject: () => {
+        this.#inProgress -= 1
+        this.#refuse(message, response, { status: 503, reason: 'the gateway is overloaded', retryAfterMs: this.#overloadRetryAfterMs() }, arrival, this.#options.routeTable())
+      },
+      drop: () => {
+        this.#inProgress -= 1
+        this.#recordUnstarted(message, arrival)
+      }
+    })
+  }
+
+  /** Spreads the retries of the callers that are rejected at the same time. */
+  #overloadRetryAfterMs (): number {
+    return OVERLOAD_RETRY_AFTER_MS / 2 + this.#options.random.integer(OVERLOAD_RETRY_AFTER_MS)
+  }
+
+  async #handle (message: http.IncomingMessage, response: http.ServerResponse, arrival: calls.Arrival): Promise<void> {
+    arrival.queuedMs = this.#options.clock.now() - arrival.at
     if (this.#isLeaving) response.setHeader('connection', 'close')
     try {
       await this.#serve(message, response, arrival)
@@ -107,7 +145,7 @@
     this.#options.metrics.observeReadDelay(readDelayMs / 1000)
     const requestOnConnection = (this.#requestsOnConnection.get(message.socket) ?? 0) + 1
     this.#requestsOnConnection.set(message.socket, requestOnConnection)
-    return { at: this.#options.clock.now(), caller: message.socket.remoteAddress, requestOnConnection, readDelayMs }
+    return { at: this.#options.clock.now(), caller: message.socket.remoteAddress, requestOnConnection, readDelayMs, queuedMs: 0 }
   }
 
   async #serve (message: http.IncomingMessage, response: http.ServerResponse, arrival: calls.Arrival): Promise<void> {
@@ -208,6 +246,18 @@
     })
   }
 
+  /** Records a request whose caller left before it was started. */
+  #recordUnstarted (message: http.IncomingMessage, arrival: calls.Arrival): void {
+    this.#options.metrics.observeRequest('none', 'caller-left', 0)
+    this.#options.decisionLog.write({
+      event: 'request-dropped',
+      request: adapter.callerRequest.attemptIdForLog(message),
+      reason: 'the caller left',
+      ...arrivalForLog(arrival),
+      totalMs: Math.round(this.#options.clock.now() - arrival.at)
+    })
+  }
+
   #recordOutcome (call: calls.Call, outcome: string): void {
     const totalMs = this.#options.clock.now() - call.arrival.at
     this.#options.metrics.observeRequest(call.route.name, outcome, totalMs / 1000)
@@ -242,8 +292,8 @@
   version: number
 }
 
-function arrivalForLog ({ caller, requestOnConnection, readDelayMs }: calls.Arrival): Record<string, unknown> {
-  return { caller, requestOnConnection, readDelayMs: Math.round(readDelayMs) }
+function arrivalForLog ({ caller, requestOnConnection, readDelayMs, queuedMs }: calls.Arrival): Record<string, unknown> {
+  return { caller, requestOnConnection, readDelayMs: Math.round(readDelayMs), queuedMs: Math.round(queuedMs) }
 }
 
 /** Returns the size of the headers on the wire, including separators and line ends. */
