Bound what the gateway holds of an answer that does not end

What callers saw: a target in trouble may send bytes without end. A gateway buffered the body of a plain answer, and an event of a stream without its end, until the time limit: memory of the process rose by 280 MB within 1.5 s for four such requests, beyond the memory of most hosts.

Cause: bodies were read whole without a limit, and the time limit of silence starts anew with each byte. The class: input whose size the sender decides. Looked for elsewhere: every call of callHttp (store, services, engines' control calls) and the events of engines were unbounded too.

Now an answer is held back up to 256 KiB and then forwarded as it arrives, so that it can break off but never looks whole; an event may have 256 KiB at a gateway, and an answer read by callHttp 16 MiB. Heads needed no change: the parser bounds them, and the request's deadline ends those that it skips, such as blank lines and interim responses.

--- /dev/null
+++ b/packages/gateway/src/answer-relay.ts
@@ -0,0 +1,90 @@
+import type * as adapter from '@acaciaweir/platform-adapter'
+import type * as http from 'node:http'
+import * as answers from './answers.js'
+import type * as calls from './call.js'
+import * as drain from './drain.js'
+import type * as flows from './request-flow.js'
+
+/** Largest part of an answer that the gateway holds in memory, in bytes. */
+const MAXIMUM_BUFFERED_BYTES = 256 * 1024
+
+/**
+ * Passes a target's answer that is not a stream to the caller. Holds it back until it is complete, so that the request can still move to
+ * another target; only an answer that is too large for that is forwarded as it arrives.
+ */
+export class AnswerRelay {
+  readonly #call: calls.Call
+  readonly #answer: adapter.targetRequest.TargetResponse
+  #chunks: Buffer[] = []
+  #bufferedBytes = 0
+  #isForwarding = false
+
+  constructor (call: calls.Call, answer: adapter.targetRequest.TargetResponse) {
+    this.#call = call
+    this.#answer = answer
+  }
+
+  /** Relays until the target's answer ends, and ends the caller's response only if the answer is complete. */
+  async run (source: http.IncomingMessage): Promise<flows.SendOutcome> {
+    try {
+      for await (const chunk of source) {
+        if (this.#isForwarding) await this.#forward(chunk as Buffer)
+        else if (!await this.#buffer(chunk as Buffer)) return this.#notForwardedOutcome('the answer is too large')
+      }
+    } catch (error) {
+      return this.#interruptedOutcome((error as Error).message)
+    }
+    return source.complete ? this.#complete() : this.#interruptedOutcome('the answer ended early')
+  }
+
+  /** Buffers a part of the body, or starts to forward the answer. Returns false if it must neither be buffered nor forwarded. */
+  async #buffer (chunk: Buffer): Promise<boolean> {
+    this.#chunks.push(chunk)
+    this.#bufferedBytes += chunk.length
+    if (this.#bufferedBytes <= MAXIMUM_BUFFERED_BYTES) return true
+    const { response } = this.#call
+    if (!this.#isForwardable || response.headersSent || response.destroyed) return false
+    this.#isForwarding = true
+    response.writeHead(this.#answer.status, this.#answer.forwardedHeaders)
+    await this.#forward(this.#takeBody())
+    return true
+  }
+
+  async #forward (chunk: Buffer): Promise<void> {
+    if (!this.#call.response.write(chunk)) await drain.waitForDrain(this.#call.response)
+  }
+
+  #complete (): flows.SendOutcome {
+    const { status, forwardedHeaders } = this.#answer
+    if (this.#isForwarding) {
+      this.#call.response.end()
+      return { kind: 'answered', status }
+    }
+    if (!this.#isForwardable && status < 500) return this.#notForwardedOutcome('the answer is not signed')
+    if (this.#answer.wasNotExecuted) return this.#notForwardedOutcome('')
+    const buffered = { status, headers: forwardedHeaders, body: this.#takeBody() }
+    if (status >= 500) return { kind: 'failed', answer: buffered }
+    answers.forwardAnswer(this.#call.response, buffered)
+    return { kind: 'answered', status }
+  }
+
+  /** The answer counts. A failure does not: another target may still answer. */
+  get #isForwardable (): boolean {
+    const { status, wasNotExecuted, isSigned } = this.#answer
+    return !wasNotExecuted && status < 500 && (isSigned || status < 200 || status >= 300)
+  }
+
+  #takeBody (): Buffer {
+    const body = Buffer.concat(this.#chunks)
+    this.#chunks = []
+    return body
+  }
+
+  #interruptedOutcome (reason: string): flows.SendOutcome {
+    return this.#isForwarding ? { kind: 'cut', reason } : { kind: 'lost', reason }
+  }
+
+  #notForwardedOutcome (reason: string): flows.SendOutcome {
+    return this.#answer.wasNotExecuted ? { kind: 'not-run', reason: `status ${this.#answer.status}` } : { kind: 'lost', reason }
+  }
+}
--- a/packages/gateway/src/answers.ts
+++ b/packages/gateway/src/answers.ts
@@ -20,6 +20,20 @@
   response.end(body)
 }
 
+/** A complete answer of a target, held back until the gateway knows whether it forwards it. */
+export interface BufferedAnswer {
+  status: number
+  headers: http.OutgoingHttpHeaders
+  body: Buffer
+}
+
+/** Sends a target's answer to the caller. Does nothing once the response has started or its connection is closed. */
+export function forwardAnswer (response: http.ServerResponse, answer: BufferedAnswer): void {
+  if (response.headersSent || response.destroyed) return
+  response.writeHead(answer.status, { ...answer.headers, 'content-length': answer.body.length })
+  response.end(answer.body)
+}
+
 /** Closes the connection in the middle of a response, so that the caller does not mistake the part for a complete answer. */
 export function abortResponse (response: http.ServerResponse): void {
   response.destroy()
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -3,6 +3,7 @@
 import * as runtime from '@acaciaweir/runtime'
 import * as pattern from 'ts-pattern'
 import type * as http from 'node:http'
+import * as answerRelays from './answer-relay.js'
 import * as answers from './answers.js'
 import type * as calls from './call.js'
 import * as relays from './stream-relay.js'
@@ -49,17 +50,10 @@
   /** The target may have run the request, but the caller received nothing. */
   | { kind: 'lost', reason: string }
   /** The target answered with a server error, which is not forwarded yet. */
-  | { kind: 'failed', answer: BufferedAnswer }
+  | { kind: 'failed', answer: answers.BufferedAnswer }
   /** The stream ended early, after the caller received events. */
   | { kind: 'cut', reason: string }
 
-/** A complete answer of a target, held back until the gateway knows whether it forwards it. */
-export interface BufferedAnswer {
-  status: number
-  headers: http.OutgoingHttpHeaders
-  body: Buffer
-}
-
 /** Serves admitted calls: reserves tokens, chooses targets, sends, retries where that is safe, and settles the reservation. */
 export class RequestFlow {
   readonly #options: RequestFlowOptions
@@ -239,19 +233,7 @@
       if (outcome.kind !== 'answered') sendController.abort()
       return outcome
     }
-    const body = await readBody(response)
-    if (answer.wasNotExecuted) return { kind: 'not-run', reason: `status ${answer.status}` }
-    if (isSuccess(answer.status) && !answer.isSigned) return { kind: 'lost', reason: 'the answer is not signed' }
-    const buffered: BufferedAnswer = { status: answer.status, headers: answer.forwardedHeaders, body }
-    if (answer.status >= 500) return { kind: 'failed', answer: buffered }
-    this.#forwardAnswer(call, buffered)
-    return { kind: 'answered', status: answer.status }
-  }
-
-  #forwardAnswer (call: calls.Call, answer: BufferedAnswer): void {
-    if (call.response.headersSent || call.response.destroyed) return
-    call.response.writeHead(answer.status, { ...answer.headers, 'content-length': answer.body.length })
-    call.response.end(answer.body)
+    return await new answerRelays.AnswerRelay(call, answer).run(response)
   }
 
   /** Ends a call that no target answered. Returns the outcome for the log and the metrics. */
@@ -264,7 +246,7 @@
     const isLate = call.abortReason === 'deadline'
     return pattern.match(failure)
       .with({ kind: 'failed' }, ({ answer }) => {
-        this.#forwardAnswer(call, answer)
+        answers.forwardAnswer(call.response, answer)
         return 'target-failed'
       })
       .with({ kind: 'lost' }, () => {
@@ -291,17 +273,6 @@
   return status >= 200 && status < 300
 }
 
-async function readBody (response: http.IncomingMessage): Promise<Buffer> {
-  const chunks: Buffer[] = []
-  try {
-    for await (const chunk of response) chunks.push(chunk as Buffer)
-  } catch (error) {
-    throw new connections.TargetError('read answer', (error as Error).message, DispatchKnowledge.sentNoAnswer)
-  }
-  if (!response.complete) throw new connections.TargetError('read answer', 'the answer ended early', DispatchKnowledge.sentNoAnswer)
-  return Buffer.concat(chunks)
-}
-
 function toTargetError (error: unknown): connections.TargetError {
   if (error instanceof connections.TargetError) return error
   return new connections.TargetError('receive answer', (error as Error).message, DispatchKnowledge.sentNoAnswer)
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -3,8 +3,12 @@
 import * as runtime from '@acaciaweir/runtime'
 import type * as http from 'node:http'
 import type * as calls from './call.js'
+import * as drain from './drain.js'
 import type * as flows from './request-flow.js'
 
+/** Largest event that the gateway holds in memory until it is complete, in bytes. */
+const MAXIMUM_EVENT_BYTES = 256 * 1024
+
 /**
  * Forwards a target's server-sent events to the caller as they arrive, complete events only. The status and headers go out with the
  * first event, so that until then the request can still move to another target.
@@ -14,7 +18,7 @@
   readonly #answer: adapter.targetRequest.TargetResponse
   readonly #clock: decisions.clock.Clock
   readonly #onFirstEvent: () => void
-  readonly #splitter = new runtime.eventSplitter.EventSplitter()
+  readonly #splitter = new runtime.eventSplitter.EventSplitter(MAXIMUM_EVENT_BYTES)
 
   constructor (call: calls.Call, answer: adapter.targetRequest.TargetResponse, clock: decisions.clock.Clock, onFirstEvent: () => void) {
     this.#call = call
@@ -46,7 +50,7 @@
     }
     const { response } = this.#call
     const hasRoom = response.write(events.length === 1 ? events[0].bytes : Buffer.concat(events.map((event) => event.bytes)))
-    if (!hasRoom) await waitForDrain(response)
+    if (!hasRoom) await drain.waitForDrain(response)
   }
 
   #sendHead (): void {
@@ -61,16 +65,3 @@
     return this.#call.response.headersSent ? { kind: 'cut', reason } : { kind: 'lost', reason }
   }
 }
-
-/** Resolves when the response accepts more data or its connection has closed. */
-function waitForDrain (response: http.ServerResponse): Promise<void> {
-  return new Promise((resolve) => {
-    const done = (): void => {
-      response.off('drain', done)
-      response.off('close', done)
-      resolve()
-    }
-    response.on('drain', done)
-    response.on('close', done)
-  })
-}
--- a/packages/gateway/test/serving.test.ts
+++ b/packages/gateway/test/serving.test.ts
@@ -99,6 +99,14 @@
     }
   })
 
+  it('forwards an answer that is too large to be held back', async () => {
+    for (const target of fleet.targets) target.options.answerBytes = 1_000_000
+    const answer = await fleet.call(0, '/order/1', {}, 'order')
+    expect(answer.isWhole).to.equal(true)
+    expect(answer.body).to.have.length(1_000_000)
+    expect(answer.headers['replica-seal']).to.match(/^seal-orders-/)
+  })
+
   it('resumes a broken resumable stream at another target, with each event once', async () => {
     await fleet.callModel(0, '/reply/1', 100, 50)
     const first = fleet.targets.find((target) => target.runs.length > 0)
--- a/packages/runtime/src/event-splitter.ts
+++ b/packages/runtime/src/event-splitter.ts
@@ -9,14 +9,19 @@
 
 /** Splits a byte stream into complete server-sent events and buffers an incomplete one until more bytes arrive. */
 export class EventSplitter {
+  readonly #maximumEventBytes: number
   #incomplete: Buffer = Buffer.alloc(0)
 
+  constructor (maximumEventBytes: number) {
+    this.#maximumEventBytes = maximumEventBytes
+  }
+
   /** Number of buffered bytes of an event whose end has not arrived. */
   get bufferedBytes (): number {
     return this.#incomplete.length
   }
 
-  /** Appends bytes and returns the events that they complete. */
+  /** Appends bytes and returns the events that they complete. Throws if an incomplete event is larger than the maximum. */
   push (chunk: Buffer): RawEvent[] {
     const bytes = this.#incomplete.length === 0 ? chunk : Buffer.concat([this.#incomplete, chunk])
     const events: RawEvent[] = []
@@ -27,6 +32,7 @@
       start = end
     }
     this.#incomplete = bytes.subarray(start)
+    if (this.#incomplete.length > this.#maximumEventBytes) throw new Error(`event is larger than ${this.#maximumEventBytes} bytes`)
     return events
   }
 }
--- a/packages/runtime/src/http-call.ts
+++ b/packages/runtime/src/http-call.ts
@@ -78,10 +78,13 @@
   })
 }
 
-/** Sends a request and reads the complete answer. Throws HttpCallError. */
+/** Largest body that `callHttp` reads, in bytes. A server in trouble may send bytes without end. */
+const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
+
+/** Sends a request and reads the complete answer. Throws HttpCallError, also if the body is larger than 16 MiB. */
 export async function callHttp (call: HttpCall): Promise<HttpAnswer> {
   const response = await openCall(call)
-  const body = await readBody(response)
+  const body = await readBody(response, MAXIMUM_ANSWER_BYTES)
   return { status: response.statusCode ?? 0, headers: response.headers, body }
 }
 
--- a/packages/runtime/src/sse.ts
+++ b/packages/runtime/src/sse.ts
@@ -12,8 +12,11 @@
   return `${id}data: ${event.data}\n\n`
 }
 
+/** Largest event that is buffered until its end arrives, in characters. */
+const MAXIMUM_EVENT_LENGTH = 1024 * 1024
+
 /**
- * Yields events as they arrive, until the stream ends. Throws if the stream is cut off.
+ * Yields events as they arrive, until the stream ends. Throws if the stream is cut off or an event is larger than 1 MiB.
  * A consumer that stops early must drain or destroy the stream itself.
  */
 export async function * readEvents (stream: http.IncomingMessage): AsyncGenerator<ServerSentEvent> {
@@ -27,6 +30,7 @@
       buffered = buffered.slice(eventEnd + 2)
       eventEnd = buffered.indexOf('\n\n')
     }
+    if (buffered.length > MAXIMUM_EVENT_LENGTH) throw new Error(`event is larger than ${MAXIMUM_EVENT_LENGTH} characters`)
   }
 }
 
--- a/packages/runtime/test/http-call.test.ts
+++ b/packages/runtime/test/http-call.test.ts
@@ -21,6 +21,7 @@
 }
 
 const STATUS_LINE = 'HTTP/1.1 200 OK\r\n'
+const FILLER = Buffer.alloc(65_536, 'x')
 
 const cases: Array<{ title: string, respond: (socket: net.Socket) => void, isComplete: boolean }> = [
   { title: 'returns the body of a response with a Content-Length', respond: (socket) => { socket.end(`${STATUS_LINE}Content-Length: 4\r\n\r\nbody`) }, isComplete: true },
@@ -36,6 +37,16 @@
     title: 'rejects a response without a length if its last bytes arrive together with a reset',
     respond: (socket) => { socket.write(`${STATUS_LINE}\r\nbo`, () => { socket.resetAndDestroy() }) },
     isComplete: false
+  },
+  {
+    title: 'rejects a response that does not end',
+    respond: (socket) => {
+      socket.write(`${STATUS_LINE}\r\n`)
+      const sendMore = (): void => { while (!socket.destroyed && socket.write(FILLER)); }
+      socket.on('drain', sendMore)
+      sendMore()
+    },
+    isComplete: false
   }
 ]
 
--- a/packages/stand-ins/src/platform-stand-in.ts
+++ b/packages/stand-ins/src/platform-stand-in.ts
@@ -40,7 +40,7 @@
   /** Starts a target and registers it. The service `engines` consists of model engines; `orders` is a plain service. */
   async addTarget (service: 'engines' | 'orders', id: string, options: Partial<targets.TargetOptions> = {}): Promise<targets.TargetServer> {
     const target = new targets.TargetServer({
-      id, service, availabilityZone: 'zone-a', slots: 32, workMs: 5, eventIntervalMs: 2, events: 6, ...options
+      id, service, availabilityZone: 'zone-a', slots: 32, workMs: 5, eventIntervalMs: 2, events: 6, answerBytes: 0, ...options
     })
     await target.listen()
     this.targets.push(target)
--- a/packages/stand-ins/src/target-server.ts
+++ b/packages/stand-ins/src/target-server.ts
@@ -1,5 +1,6 @@
 import * as runtime from '@acaciaweir/runtime'
 import type * as http from 'node:http'
+import type * as net from 'node:net'
 
 /** Faults of a stand-in target. */
 export const TargetFault = {
@@ -17,7 +18,19 @@
   /** Sends an unsolicited answer after a whole one; plain services only. */
   extraBytes: 'extra-bytes',
   /** Runs requests and never answers them. */
-  mute: 'mute'
+  mute: 'mute',
+  /** Sends bytes that are not HTTP, without end. */
+  endlessGarbage: 'endless-garbage',
+  /** Sends blank lines before the status line, without end. */
+  endlessBlankLines: 'endless-blank-lines',
+  /** Sends a header value without end. */
+  endlessHeader: 'endless-header',
+  /** Sends interim responses (103) without end. */
+  endlessInterimResponses: 'endless-interim-responses',
+  /** Sends a signed head and then a body without a length and without end, which holds no complete event. */
+  endlessBody: 'endless-body',
+  /** The same with a chunked body. */
+  endlessChunks: 'endless-chunks'
 } as const
 export type TargetFault = typeof TargetFault[keyof typeof TargetFault]
 
@@ -33,6 +46,8 @@
   eventIntervalMs: number
   /** Number of events in a stream. */
   events: number
+  /** Least size of the answer of a plain service, in bytes. */
+  answerBytes: number
 }
 
 /** One run of a request, as the target observed it. */
@@ -56,6 +71,24 @@
 
 const MISDIRECTED_REQUEST = 421
 
+const FILLER = 'x'.repeat(65_536)
+
+/** What a target sends before the bytes that it repeats, and these bytes. */
+interface EndlessAnswer {
+  start: string
+  repeated: string
+}
+
+/** Endless answers by fault; `signedHead` holds the status line and headers that make an answer count. */
+const endlessAnswers: Partial<Record<TargetFault, (signedHead: string) => EndlessAnswer>> = {
+  [TargetFault.endlessGarbage]: () => ({ start: '', repeated: FILLER }),
+  [TargetFault.endlessBlankLines]: () => ({ start: '', repeated: '\r\n'.repeat(32_768) }),
+  [TargetFault.endlessHeader]: () => ({ start: 'HTTP/1.1 200 OK\r\nFiller: ', repeated: FILLER }),
+  [TargetFault.endlessInterimResponses]: () => ({ start: '', repeated: 'HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(1000) }),
+  [TargetFault.endlessBody]: (signedHead) => ({ start: `${signedHead}\r\n`, repeated: FILLER }),
+  [TargetFault.endlessChunks]: (signedHead) => ({ start: `${signedHead}Transfer-Encoding: chunked\r\n\r\n`, repeated: `10000\r\n${FILLER}\r\n` })
+}
+
 /**
  * A stand-in for a target with the platform's published protocol. It answers a request that states token counts as a model engine
  * does, any other as a plain service.
@@ -69,6 +102,8 @@
   fault: TargetFault = TargetFault.none
   /** Requests received, also those that it rejected. */
   receivedRequests = 0
+  /** Connections on which an endless answer is being sent. */
+  endlessAnswers = 0
 
   constructor (options: TargetOptions) {
     this.options = options
@@ -107,6 +142,8 @@
     this.#inProgress += 1
     try {
       if (this.fault === TargetFault.mute) return
+      const endless = endlessAnswers[this.fault]?.(`HTTP/1.1 200 OK\r\nAttempt-Id: ${attemptId}\r\nReplica-Seal: seal-${this.options.id}\r\n`)
+      if (endless !== undefined) { await this.#sendUntilClosed(message.socket, endless); return }
       await sleep(this.options.workMs)
       await this.#finishRun(message, response, run, body)
     } finally {
@@ -114,6 +151,17 @@
     }
   }
 
+  async #sendUntilClosed (socket: net.Socket, { start, repeated }: EndlessAnswer): Promise<void> {
+    this.endlessAnswers += 1
+    const closed = new Promise<void>((resolve) => { socket.on('close', () => { resolve() }) })
+    socket.write(start)
+    while (!socket.destroyed) {
+      const hasRoom = socket.write(repeated)
+      await (hasRoom ? sleep(0) : Promise.race([closed, new Promise<void>((resolve) => { socket.once('drain', resolve) })]))
+    }
+    this.endlessAnswers -= 1
+  }
+
   #startRun (message: http.IncomingMessage, attemptId: string): TargetRun {
     const lastEventId = message.headers['last-event-id']
     const run: TargetRun = {
@@ -138,7 +186,7 @@
     if (this.fault === TargetFault.loseAnswers) { message.socket.resetAndDestroy(); return }
     if (this.fault === TargetFault.failing) { response.writeHead(500, headers).end('failed'); return }
     if (run.tokenCounts !== undefined) { await this.#streamEvents(message, response, run, headers); return }
-    const text = `${this.options.service} ran ${run.path} with ${body.length} bytes`
+    const text = `${this.options.service} ran ${run.path} with ${body.length} bytes`.padEnd(this.options.answerBytes)
     response.writeHead(200, { ...headers, 'content-length': Buffer.byteLength(text) })
     response.end(text)
     if (this.fault === TargetFault.extraBytes) message.socket.write('HTTP/1.1 200 OK\r\nAttempt-Id: nobody\r\nContent-Length: 0\r\n\r\n')
