Keep an overloaded router reading, too

The router's server for callers started each request in the callback that read it, as the gateway's did, so the same overload keeps its callers waiting: of 1000 requests offered to a router process with a fifth of a core, 950 were neither answered nor refused 0.5 s after a second, and 50 were served. The admission queue moves to the runtime package and both servers use it; health probes pass it.

--- a/packages/callers/src/caller-server.ts
+++ b/packages/callers/src/caller-server.ts
@@ -12,7 +12,8 @@
 export class CallerServer {
   readonly #handler: types.CallHandler
   readonly #logger: runtime.logging.Logger
-  readonly #server = new runtime.httpServer.HttpServer((request, response) => this.#handleRequest(request, response))
+  readonly #server = new runtime.httpServer.HttpServer((request, response) => this.#admit(request, response), () => { this.#queue.recordConnection() })
+  readonly #queue = new runtime.admissionQueue.AdmissionQueue(new runtime.systemClock.SystemClock(), (refuses) => { this.#setRefusesConnections(refuses) })
 
   constructor (handler: types.CallHandler, logger: runtime.logging.Logger) {
     this.#handler = handler
@@ -34,18 +35,44 @@
     this.#server.closeNow()
   }
 
+  #setRefusesConnections (refuses: boolean): void {
+    this.#server.setRefusesConnections(refuses)
+    this.#logger.warn({ event: refuses ? 'connections-refused' : 'connections-accepted', waitingRequests: this.#queue.length })
+  }
+
+  /** Queues a request. Health probes don't wait, as they report on the process. */
+  #admit (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    if (request.url === '/healthz' || request.url === '/readyz') return this.#handleRequest(request, response)
+    return new Promise((resolve, reject) => {
+      this.#queue.push({
+        hasLeft: () => request.socket.destroyed || request.socket.readableEnded,
+        start: () => { this.#handleRequest(request, response).then(resolve, reject) },
+        reject: () => {
+          this.#refuse(request, response, { tag: 'overloaded', step: 'admit', peer: decisions.problem.Peer.self, detail: 'the request waited too long to be started' }, { isDone: false })
+          request.resume()
+          resolve()
+        },
+        drop: resolve
+      })
+    })
+  }
+
   async #handleRequest (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const keyCheck: types.KeyCheck = { isDone: false }
     try {
       await this.#route(request, response, keyCheck)
     } catch (error) {
-      const problem = withUncheckedKey(problems.toProblem(error), request, keyCheck)
-      this.#logger.info({ event: 'refused', ...problem, path: request.url })
-      if (response.headersSent || response.destroyed) response.destroy()
-      else problems.sendProblem(response, problem)
+      this.#refuse(request, response, problems.toProblem(error), keyCheck)
     }
   }
 
+  #refuse (request: http.IncomingMessage, response: http.ServerResponse, reason: decisions.problem.Problem, keyCheck: types.KeyCheck): void {
+    const problem = withUncheckedKey(reason, request, keyCheck)
+    this.#logger.info({ event: 'refused', ...problem, path: request.url })
+    if (response.headersSent || response.destroyed) response.destroy()
+    else problems.sendProblem(response, problem)
+  }
+
   async #route (request: http.IncomingMessage, response: http.ServerResponse, keyCheck: types.KeyCheck): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://router')
     if (url.pathname === '/healthz') { runtime.httpServer.sendJson(response, 200, { alive: true }); return }
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -3,7 +3,6 @@
 import * as runtime from '@acaciaweir/runtime'
 import * as http from 'node:http'
 import type * as net from 'node:net'
-import * as admissionQueues from './admission-queue.js'
 import * as answers from './answers.js'
 import type * as calls from './call.js'
 import type * as logs from './decision-log.js'
@@ -46,7 +45,7 @@
   readonly #server: http.Server
   readonly #readDelayMeter = new runtime.readDelay.ReadDelayMeter()
   readonly #requestsOnConnection = new WeakMap<net.Socket, number>()
-  readonly #queue: admissionQueues.AdmissionQueue
+  readonly #queue: runtime.admissionQueue.AdmissionQueue
   #inProgress = 0
   #isLeaving = false
 
@@ -54,7 +53,7 @@
     this.#options = options
     const serverOptions = { maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS }
     this.#server = http.createServer(serverOptions, (message, response) => { this.#enqueue(message, response) })
-    this.#queue = new admissionQueues.AdmissionQueue(options.clock, (refuses) => { this.#setRefusesConnections(refuses) })
+    this.#queue = new runtime.admissionQueue.AdmissionQueue(options.clock, (refuses) => { this.#setRefusesConnections(refuses) })
     this.#server.on('connection', () => { this.#queue.recordConnection() })
     this.#server.on('drop', () => {
       this.#queue.recordConnection()
--- a/packages/runtime/src/http-server.ts
+++ b/packages/runtime/src/http-server.ts
@@ -4,11 +4,19 @@
 export class HttpServer {
   readonly #server: http.Server
 
-  constructor (handler: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>) {
+  /** `onConnection` is called for each new connection, also if it is refused. */
+  constructor (handler: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>, onConnection: () => void = () => {}) {
     this.#server = http.createServer((request, response) => {
       handler(request, response).catch((error: Error) => { failResponse(response, error) })
     })
     this.#server.keepAliveTimeout = 60_000
+    this.#server.on('connection', onConnection)
+    this.#server.on('drop', onConnection)
+  }
+
+  /** Makes the server close new connections unread, or accept them again. */
+  setRefusesConnections (refuses: boolean): void {
+    this.#server.maxConnections = refuses ? 1 : Infinity
   }
 
   /** Starts listening and resolves with the port; port 0 selects a free one. */
