Stop the record logs of a test, which kept the event loop from idling

Four record logs of admitted-request.test.ts ran on after their tests, on a fake clock that does not wait, so that the event loop of the test run was never idle again. read-delay.test.ts, which measures idle time, failed once when it came right after them (299 ms instead of at most 100).

--- a/packages/router-daemon/test/admitted-request.test.ts
+++ b/packages/router-daemon/test/admitted-request.test.ts
@@ -20,11 +20,15 @@
   request: admitted.AdmittedRequest
 }
 
+/** Record logs of the fixtures. A running one keeps the event loop busy, as the fake clock does not wait. */
+const runningLogs: Array<incarnations.Incarnation['log']> = []
+
 async function createFixture (): Promise<Fixture> {
   const client = new fakes.FakePlatform()
   const clock = new fakes.FakeClock()
   const incarnation = fakes.createIncarnation('one', client, clock)
   incarnation.log.start()
+  runningLogs.push(incarnation.log)
   const admission: admitted.AdmissionRequest = {
     envelope: { caller: { account: 'alpha', priority: 5 }, budget: undefined, key: 'one.k1', repeatable: false, keyCheck: { isDone: true }, headers: {}, disconnectSignal: new AbortController().signal },
     budget: 'shared',
@@ -57,6 +61,10 @@
 const usage = { promptTokens: 10, completionTokens: 20 }
 
 describe('admitted request', () => {
+  afterEach(async () => {
+    for (const log of runningLogs.splice(0)) await log.close(0)
+  })
+
   it('writes its dispatch record to the journal before the dispatch', async () => {
     const { client, request } = await createFixture()
     await request.recordDispatch('engine-1')
