Reject heartbeats that name a port out of range

A stray datagram whose sender or heard gateways have a port above 65535, or 0, entered the table of gateways, and the next round of heartbeats threw ERR_SOCKET_BAD_PORT, which would have ended the gateway. The address pattern checked the number of digits only. The two new cases of heartbeat-socket.test.ts failed before and pass now.

--- a/packages/gateway/test/heartbeat-socket.test.ts
+++ b/packages/gateway/test/heartbeat-socket.test.ts
@@ -42,6 +42,8 @@
     { name: 'an empty datagram', datagram: Buffer.alloc(0) },
     { name: 'text', datagram: Buffer.from('hello, is this a resolver?') },
     { name: 'a heartbeat without the address of its sender', datagram: routers.peerDefinition.heartbeatCodec.serialize(heartbeat('')) },
+    { name: 'a heartbeat from a port out of range', datagram: routers.peerDefinition.heartbeatCodec.serialize(heartbeat('10.0.0.1:99999')) },
+    { name: 'a heartbeat that names port 0', datagram: routers.peerDefinition.heartbeatCodec.serialize(heartbeat('10.0.0.1:0')) },
     { name: 'a truncated heartbeat', datagram: routers.peerDefinition.heartbeatCodec.serialize(heartbeat('10.0.0.1:1')).subarray(0, 30) }
   ]
   for (const { name, datagram } of strayDatagrams) {
--- a/packages/routers/src/heartbeat-socket.ts
+++ b/packages/routers/src/heartbeat-socket.ts
@@ -2,8 +2,9 @@
 import type * as messages from './gateway-messages.js'
 import * as definition from './peer-definition.js'
 
-/** IPv4 address and port. A heartbeat with any other address is rejected, because no datagram could be sent there. */
-const PEER_ADDRESS = /^[\d.]+:\d{1,5}$/
+const PEER_ADDRESS = /^[\d.]+:(\d{1,5})$/
+
+const MAXIMUM_PORT = 65_535
 
 /** Callbacks of a heartbeat socket. */
 export interface HeartbeatHandler {
@@ -66,8 +67,14 @@
   try {
     const heartbeat = definition.heartbeatCodec.deserialize(datagram) as Partial<messages.GatewayHeartbeat>
     const addresses = [heartbeat.sender?.peerAddress ?? '', ...(heartbeat.heard ?? []).map((heard) => heard.peerAddress)]
-    return addresses.every((address) => PEER_ADDRESS.test(address)) ? heartbeat as messages.GatewayHeartbeat : undefined
+    return addresses.every(isPeerAddress) ? heartbeat as messages.GatewayHeartbeat : undefined
   } catch {
     return undefined
   }
 }
+
+/** Returns true for an IPv4 address with a port. `send` throws for a port out of range. */
+function isPeerAddress (text: string): boolean {
+  const port = Number(PEER_ADDRESS.exec(text)?.[1])
+  return port > 0 && port <= MAXIMUM_PORT
+}
