Keep the tokens of a transfer whose reply comes late

Cause: a borrower waits 150 ms for a transfer and then gave up the call. The holder had taken the tokens out of its pool, and its reply went nowhere: they counted as spent for good. An overloaded gateway answers, or reads the answer, later than that. The class: a timeout that abandons a call with an effect, though the call can be completed or repeated.

--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -17,8 +17,17 @@
 const ANNOUNCEMENT_REPEATS = 3
 const ANNOUNCEMENT_PAUSE_MS = 100
 
-/** Timeout for a token transfer, in milliseconds. A request waits for it, and the other gateway may have to draw the tokens first. */
-const TRANSFER_TIMEOUT_MS = 150
+/** Time that a request waits for a token transfer, in milliseconds. The other gateway may have to draw the tokens first. */
+const TRANSFER_WAIT_MS = 150
+
+/** Timeout for one call of a token transfer, in milliseconds. An overloaded gateway answers late, with tokens that left its pool. */
+const TRANSFER_TIMEOUT_MS = 2000
+
+/** Calls for one token transfer. The other gateway gives the same tokens to each. */
+const MAXIMUM_TRANSFER_CALLS = 2
+
+/** Timeout for a return of tokens, in milliseconds. */
+const RETURN_TIMEOUT_MS = 150
 
 /** Timeout for fetching another gateway's agreement and targets, in milliseconds. */
 const STATE_TIMEOUT_MS = 1500
@@ -101,19 +110,39 @@
   }
 
   /**
-   * Requests tokens from another gateway. Resolves to undefined if the call fails; tokens that the other gateway took out of its
-   * pool then count as spent.
+   * Requests tokens from another gateway. Resolves to undefined if no reply comes in time. The tokens of a late reply are added to the
+   * pool; if none comes at all, tokens that the other gateway took out of its pool count as spent.
    */
   async requestTransfer (peerAddress: string, account: string, tokens: number): Promise<routers.gatewayMessages.TokenTransferReply | undefined> {
-    try {
-      const request = { transferId: crypto.randomUUID(), account, tokens, asker: this.#options.selfAddress }
-      const reply = await this.#client.call(peerAddress, 'TransferTokens', request, TRANSFER_TIMEOUT_MS)
-      this.#options.table.updateFreeTokens(peerAddress, account, reply.freeTokens)
-      return reply
-    } catch (error) {
-      this.#options.logger.warn({ event: 'transfer-failed', peer: peerAddress, account, tokens, reason: (error as Error).message })
+    const reply = this.#callForTransfer(peerAddress, account, tokens)
+    const timer = new AbortController()
+    const timelyReply = await Promise.race([reply, this.#options.clock.sleep(TRANSFER_WAIT_MS, timer.signal)])
+    timer.abort()
+    if (timelyReply === undefined) {
+      void reply.then((lateReply) => { this.#addLateTokens(peerAddress, account, lateReply) })
       return undefined
     }
+    this.#options.table.updateFreeTokens(peerAddress, account, timelyReply.freeTokens)
+    return timelyReply
+  }
+
+  async #callForTransfer (peerAddress: string, account: string, tokens: number): Promise<routers.gatewayMessages.TokenTransferReply | undefined> {
+    const request = { transferId: crypto.randomUUID(), account, tokens, asker: this.#options.selfAddress }
+    for (let remainingCalls = MAXIMUM_TRANSFER_CALLS - 1; ; remainingCalls--) {
+      try {
+        return await this.#client.call(peerAddress, 'TransferTokens', request, TRANSFER_TIMEOUT_MS)
+      } catch (error) {
+        if (remainingCalls > 0 && !this.#stop.signal.aborted) continue
+        this.#options.logger.warn({ event: 'transfer-failed', peer: peerAddress, account, tokens, reason: (error as Error).message })
+        return undefined
+      }
+    }
+  }
+
+  #addLateTokens (peerAddress: string, account: string, reply: routers.gatewayMessages.TokenTransferReply | undefined): void {
+    if (reply === undefined) return
+    this.#options.addReturnedTokens(account, reply.tokens)
+    this.#options.logger.info({ event: 'transfer-late', peer: peerAddress, account, tokens: reply.tokens })
   }
 
   /**
@@ -122,7 +151,7 @@
    */
   async returnTokens (peerAddress: string, account: string, tokens: number): Promise<void> {
     try {
-      await this.#client.call(peerAddress, 'ReturnTokens', { account, tokens }, TRANSFER_TIMEOUT_MS)
+      await this.#client.call(peerAddress, 'ReturnTokens', { account, tokens }, RETURN_TIMEOUT_MS)
     } catch (error) {
       this.#options.logger.warn({ event: 'return-failed', peer: peerAddress, account, tokens, reason: (error as Error).message })
     }
