--- a/packages/runtime/src/admission-queue.ts
+++ b/packages/runtime/src/admission-queue.ts
@@ -17,8 +17,9 @@
   /** Returns true if the caller has closed its connection. */
   hasLeft: () => boolean
   start: () => void
-  /** Answers that the request was not run, because the gateway is overloaded. */
+  /** Answers that the request was not run, because the process is overloaded. */
   reject: () => void
+  /** Ends a request whose caller has left. */
   drop: () => void
 }
 
@@ -30,7 +31,7 @@
 }
 
 /**
- * Starts requests between two polls of the event loop, a few at a time, so that an overloaded gateway keeps reading and accepting. The
+ * Starts requests between two polls of the event loop, a few at a time, so that an overloaded process keeps reading and accepting. The
  * event loop accepts one connection in each iteration, so long iterations would leave callers waiting in the accept queue.
  */
 export class AdmissionQueue {
@@ -51,10 +52,12 @@
     this.#setRefusesConnections = setRefusesConnections
   }
 
+  /** Number of requests that are waiting. */
   get length (): number {
     return this.#entries.length
   }
 
+  /** Queues a request. Exactly one of its `start`, `reject` and `drop` is called, in a later iteration of the event loop. */
   push (request: WaitingRequest): void {
     this.#entries.push({ request, queuedAt: this.#clock.now(), turn: this.#turn })
     this.#schedule()
@@ -99,14 +102,10 @@
     this.#lastStartAt = now
     this.#endHopelessRequests(now)
     // A request waits for one poll, which tells whether its caller has left.
-    const isReady = (entry: Entry | undefined): entry is Entry => entry !== undefined && entry.turn < this.#turn
-    const unready = this.#entries.filter((entry) => !isReady(entry))
-    const ready = this.#entries.filter(isReady)
-    while (ready.length > 0 && this.#clock.now() - now < TURN_MS) {
-      const entry = ready.pop()
-      entry?.request.start()
-    }
-    this.#entries = [...ready, ...unready]
+    const polled = this.#entries.filter((entry) => entry.turn < this.#turn)
+    const unpolled = this.#entries.filter((entry) => entry.turn === this.#turn)
+    while (polled.length > 0 && this.#clock.now() - now < TURN_MS) polled.pop()?.request.start()
+    this.#entries = [...polled, ...unpolled]
   }
 
   #endHopelessRequests (now: number): void {
--- /dev/null
+++ b/packages/runtime/test/admission-queue.test.ts
@@ -0,0 +1,65 @@
+// Guards against requests that are started for callers that have left, or so late that their callers no longer wait.
+import * as chai from 'chai'
+import * as admissionQueues from '../src/admission-queue.js'
+import * as clocks from '../src/system-clock.js'
+
+const { expect } = chai
+
+/** A request that is queued, and whose caller may have left. */
+interface QueuedRequest {
+  name: string
+  hasLeft?: boolean
+  /** Time for which the start of the request keeps the event loop busy, in milliseconds. */
+  busyMs?: number
+}
+
+const cases: Array<{ name: string, requests: QueuedRequest[], events: string[] }> = [
+  { name: 'starts a request', requests: [{ name: 'one' }], events: ['start one'] },
+  { name: 'starts the newest request first', requests: [{ name: 'one' }, { name: 'two' }, { name: 'three' }], events: ['start three', 'start two', 'start one'] },
+  { name: 'drops a request whose caller has left', requests: [{ name: 'one' }, { name: 'two', hasLeft: true }], events: ['drop two', 'start one'] },
+  { name: 'rejects a request that has waited too long', requests: [{ name: 'one' }, { name: 'two', busyMs: 300 }], events: ['start two', 'reject one'] }
+]
+
+describe('an admission queue', () => {
+  for (const { name, requests, events } of cases) {
+    it(name, async () => {
+      const queue = new admissionQueues.AdmissionQueue(new clocks.SystemClock(), () => {})
+      const seen: string[] = []
+      for (const request of requests) {
+        queue.push({
+          hasLeft: () => request.hasLeft === true,
+          start: () => {
+            seen.push(`start ${request.name}`)
+            block(request.busyMs ?? 0)
+          },
+          reject: () => { seen.push(`reject ${request.name}`) },
+          drop: () => { seen.push(`drop ${request.name}`) }
+        })
+      }
+      expect(seen).to.deep.equal([])
+      while (queue.length > 0) await nextIteration()
+      expect(seen).to.deep.equal(events)
+    })
+  }
+
+  it('refuses connections while they keep coming for longer than a second, and accepts them again', async () => {
+    const changes: boolean[] = []
+    const queue = new admissionQueues.AdmissionQueue(new clocks.SystemClock(), (refuses) => { changes.push(refuses) })
+    const startedAt = performance.now()
+    while (performance.now() - startedAt < 1300) {
+      queue.recordConnection()
+      await nextIteration()
+    }
+    for (let iteration = 0; iteration < 3; iteration++) await nextIteration()
+    expect(changes).to.deep.equal([true, false])
+  })
+})
+
+async function nextIteration (): Promise<void> {
+  await new Promise<void>((resolve) => { setImmediate(resolve) })
+}
+
+function block (milliseconds: number): void {
+  const end = performance.now() + milliseconds
+  while (performance.now() < end);
+}
