Accept a connection now and then while others are refused

Cause: while connections kept waiting, all new ones were refused, and those that tried again kept the state up. The class: a protection that starves those whom it does not drop. Now one connection is accepted in each 200 ms.

--- a/packages/callers/src/caller-server.ts
+++ b/packages/callers/src/caller-server.ts
@@ -12,12 +12,17 @@
 export class CallerServer {
   readonly #handler: types.CallHandler
   readonly #logger: runtime.logging.Logger
-  readonly #server = new runtime.httpServer.HttpServer((request, response) => this.#admit(request, response), () => { this.#queue.recordConnection() })
-  readonly #queue = new runtime.admissionQueue.AdmissionQueue(new runtime.systemClock.SystemClock(), (refuses) => { this.#setRefusesConnections(refuses) })
+  readonly #server = new runtime.httpServer.HttpServer((request, response) => this.#admit(request, response))
+  readonly #queue = new runtime.admissionQueue.AdmissionQueue({
+    clock: new runtime.systemClock.SystemClock(),
+    setRefusesConnections: (refuses) => { this.#server.setRefusesConnections(refuses) },
+    onBacklogChange: (isTooLong) => { this.#logger.warn({ event: isTooLong ? 'connections-refused' : 'connections-accepted', waitingRequests: this.#queue.length }) }
+  })
 
   constructor (handler: types.CallHandler, logger: runtime.logging.Logger) {
     this.#handler = handler
     this.#logger = logger
+    this.#server.reportConnections(this.#queue)
   }
 
   /** Starts listening and resolves with the port; port 0 selects a free one. */
@@ -35,11 +40,6 @@
     this.#server.closeNow()
   }
 
-  #setRefusesConnections (refuses: boolean): void {
-    this.#server.setRefusesConnections(refuses)
-    this.#logger.warn({ event: refuses ? 'connections-refused' : 'connections-accepted', waitingRequests: this.#queue.length })
-  }
-
   /** Queues a request. Health probes don't wait, as they report on the process. */
   #admit (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     if (request.url === '/healthz' || request.url === '/readyz') return this.#handleRequest(request, response)
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -53,10 +53,16 @@
     this.#options = options
     const serverOptions = { maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS }
     this.#server = http.createServer(serverOptions, (message, response) => { this.#enqueue(message, response) })
-    this.#queue = new runtime.admissionQueue.AdmissionQueue(options.clock, (refuses) => { this.#setRefusesConnections(refuses) })
-    this.#server.on('connection', () => { this.#queue.recordConnection() })
+    this.#queue = new runtime.admissionQueue.AdmissionQueue({
+      clock: options.clock,
+      setRefusesConnections: (refuses) => { this.#server.maxConnections = refuses ? 1 : Infinity },
+      onBacklogChange: (isTooLong) => {
+        options.logger.warn({ event: isTooLong ? 'connections-refused' : 'connections-accepted', waitingRequests: this.#queue.length, inProgress: this.#inProgress })
+      }
+    })
+    this.#server.on('connection', () => { this.#queue.recordAccepted() })
     this.#server.on('drop', () => {
-      this.#queue.recordConnection()
+      this.#queue.recordRefused()
       options.metrics.countRefusedConnection()
     })
   }
@@ -98,12 +104,6 @@
     this.#server.closeAllConnections()
   }
 
-  /** Makes the server close new connections at once instead of accepting them. Their callers have sent nothing that was read. */
-  #setRefusesConnections (refuses: boolean): void {
-    this.#server.maxConnections = refuses ? 1 : Infinity
-    this.#options.logger.warn({ event: refuses ? 'connections-refused' : 'connections-accepted', waitingRequests: this.#queue.length, inProgress: this.#inProgress })
-  }
-
   #enqueue (message: http.IncomingMessage, response: http.ServerResponse): void {
     this.#inProgress += 1
     const arrival = this.#recordArrival(message)
--- a/packages/runtime/src/admission-queue.ts
+++ b/packages/runtime/src/admission-queue.ts
@@ -12,6 +12,18 @@
 /** Time for which connections may be waiting without a gap before further ones are refused, in milliseconds. */
 const MAXIMUM_ACCEPT_BACKLOG_MS = 1000
 
+/** Interval at which a connection is accepted while others are refused, in milliseconds. */
+const ACCEPT_INTERVAL_MS = 200
+
+/** Dependencies of an admission queue. */
+export interface AdmissionQueueOptions {
+  clock: decisions.clock.Clock
+  /** Makes the server close new connections unread, or accept them again. */
+  setRefusesConnections: (refuses: boolean) => void
+  /** Called when connections have waited for too long, and when none waits any more. */
+  onBacklogChange: (isTooLong: boolean) => void
+}
+
 /** A request that has been read but not started. */
 export interface WaitingRequest {
   /** Returns true if the caller has closed its connection. */
@@ -35,9 +47,7 @@
  * event loop accepts one connection in each iteration, so long iterations would leave callers waiting in the accept queue.
  */
 export class AdmissionQueue {
-  readonly #clock: decisions.clock.Clock
-  /** Called with true when new connections are to be refused, and with false when they are to be accepted again. */
-  readonly #setRefusesConnections: (refuses: boolean) => void
+  readonly #options: AdmissionQueueOptions
   /** Requests in order of arrival. */
   #entries: Entry[] = []
   #turn = 0
@@ -45,11 +55,12 @@
   #hasNewConnection = false
   #lastStartAt = -Infinity
   #acceptBacklogSince: number | undefined
+  #lastAcceptAt = -Infinity
+  #isBacklogTooLong = false
   #refusesConnections = false
 
-  constructor (clock: decisions.clock.Clock, setRefusesConnections: (refuses: boolean) => void) {
-    this.#clock = clock
-    this.#setRefusesConnections = setRefusesConnections
+  constructor (options: AdmissionQueueOptions) {
+    this.#options = options
   }
 
   /** Number of requests that are waiting. */
@@ -59,14 +70,20 @@
 
   /** Queues a request. Exactly one of its `start`, `reject` and `drop` is called, in a later iteration of the event loop. */
   push (request: WaitingRequest): void {
-    this.#entries.push({ request, queuedAt: this.#clock.now(), turn: this.#turn })
+    this.#entries.push({ request, queuedAt: this.#options.clock.now(), turn: this.#turn })
     this.#schedule()
   }
 
-  /** Call it for each new connection, accepted or refused. */
-  recordConnection (): void {
+  /** Call it for each connection that the server has accepted. */
+  recordAccepted (): void {
+    this.#lastAcceptAt = this.#options.clock.now()
+    this.recordRefused()
+  }
+
+  /** Call it for each connection that the server has refused. */
+  recordRefused (): void {
     this.#hasNewConnection = true
-    this.#acceptBacklogSince ??= this.#clock.now()
+    this.#acceptBacklogSince ??= this.#options.clock.now()
     this.#schedule()
   }
 
@@ -80,7 +97,7 @@
   }
 
   #runTurn (): void {
-    const now = this.#clock.now()
+    const now = this.#options.clock.now()
     const hasAcceptBacklog = this.#hasNewConnection
     this.#hasNewConnection = false
     if (!hasAcceptBacklog) this.#acceptBacklogSince = undefined
@@ -91,10 +108,12 @@
   }
 
   #updateConnections (now: number): void {
-    const refuses = this.#acceptBacklogSince !== undefined && now - this.#acceptBacklogSince > MAXIMUM_ACCEPT_BACKLOG_MS
-    if (refuses === this.#refusesConnections) return
+    const isTooLong = this.#acceptBacklogSince !== undefined && now - this.#acceptBacklogSince > MAXIMUM_ACCEPT_BACKLOG_MS
+    const refuses = isTooLong && now - this.#lastAcceptAt < ACCEPT_INTERVAL_MS
+    if (refuses !== this.#refusesConnections) this.#options.setRefusesConnections(refuses)
+    if (isTooLong !== this.#isBacklogTooLong) this.#options.onBacklogChange(isTooLong)
     this.#refusesConnections = refuses
-    this.#setRefusesConnections(refuses)
+    this.#isBacklogTooLong = isTooLong
   }
 
   /** Ends the requests that have waited too long or whose callers have left, and starts others, newest first. */
@@ -104,14 +123,14 @@
     // A request waits for one poll, which tells whether its caller has left.
     const polled = this.#entries.filter((entry) => entry.turn < this.#turn)
     const unpolled = this.#entries.filter((entry) => entry.turn === this.#turn)
-    while (polled.length > 0 && this.#clock.now() - now < TURN_MS) polled.pop()?.request.start()
+    while (polled.length > 0 && this.#options.clock.now() - now < TURN_MS) polled.pop()?.request.start()
     this.#entries = [...polled, ...unpolled]
   }
 
   #endHopelessRequests (now: number): void {
     const remaining: Entry[] = []
     for (const entry of this.#entries) {
-      if (this.#clock.now() - now > TURN_MS / 2) remaining.push(entry)
+      if (this.#options.clock.now() - now > TURN_MS / 2) remaining.push(entry)
       else if (entry.request.hasLeft()) entry.request.drop()
       else if (now - entry.queuedAt > MAXIMUM_WAIT_MS) entry.request.reject()
       else remaining.push(entry)
--- a/packages/runtime/src/http-server.ts
+++ b/packages/runtime/src/http-server.ts
@@ -1,17 +1,21 @@
 import * as http from 'node:http'
+import type * as admissionQueues from './admission-queue.js'
 
 /** An HTTP server that can close without interrupting requests in progress. */
 export class HttpServer {
   readonly #server: http.Server
 
-  /** `onConnection` is called for each new connection, also if it is refused. */
-  constructor (handler: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>, onConnection: () => void = () => {}) {
+  constructor (handler: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>) {
     this.#server = http.createServer((request, response) => {
       handler(request, response).catch((error: Error) => { failResponse(response, error) })
     })
     this.#server.keepAliveTimeout = 60_000
-    this.#server.on('connection', onConnection)
-    this.#server.on('drop', onConnection)
+  }
+
+  /** Reports each new connection to a queue, and lets the queue refuse further ones. */
+  reportConnections (queue: admissionQueues.AdmissionQueue): void {
+    this.#server.on('connection', () => { queue.recordAccepted() })
+    this.#server.on('drop', () => { queue.recordRefused() })
   }
 
   /** Makes the server close new connections unread, or accept them again. */
