Let returns of tokens finish, and ask for none in advance while late ones may come

Cause: each attempt to borrow asked for the same deficit and 1.5 s of spending besides, while earlier ones were still under way, and a return was given up as early as a transfer. The second new case of token-allocator.test.ts fails without the change (it asks for the advance).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -33,8 +33,11 @@
  */
 const STOP_LISTENING_DELAY_MS = 4500
 
-/** Time at the end of the grace period that is reserved for handing tokens back before SIGKILL, in milliseconds. */
-const HAND_BACK_TIME_MS = 700
+/** Time at the end of the grace period that is reserved for stopping before SIGKILL, in milliseconds. */
+const STOP_TIME_MS = 700
+
+/** Longest time for which a leaving gateway hands tokens back in the end, in milliseconds. */
+const HAND_BACK_TIME_MS = 600
 
 /** Interval at which a leaving gateway checks for requests in progress, in milliseconds. */
 const DRAIN_CHECK_INTERVAL_MS = 50
@@ -158,7 +161,7 @@
     this.#callerServer.startLeaving()
     void this.#peerTask.announce()
     void this.#tokenTask.returnAllTokens()
-    const drainTimeoutMs = this.#settings.graceMs - HAND_BACK_TIME_MS
+    const drainTimeoutMs = this.#settings.graceMs - STOP_TIME_MS
     let isListening = true
     while (elapsedMs() < drainTimeoutMs && (isListening || this.#callerServer.inProgress > 0)) {
       await this.#clock.sleep(DRAIN_CHECK_INTERVAL_MS)
@@ -168,7 +171,7 @@
         this.#callerServer.stopListening()
       }
     }
-    await this.#tokenTask.returnAllTokens()
+    await Promise.race([this.#tokenTask.returnAllTokens(), this.#clock.sleep(HAND_BACK_TIME_MS)])
     this.#logger.info({ event: 'stopped', inProgress: this.#callerServer.inProgress, milliseconds: Math.round(elapsedMs()) })
     this.stopNow()
   }
@@ -246,6 +249,7 @@
       gatewayCount: () => this.#fleetView.gatewayCount(),
       holders: (account) => this.#fleetView.holders(account),
       requestTransfer: async (peerAddress, account, tokens) => await this.#peerTask.requestTransfer(peerAddress, account, tokens),
+      hasLateTransfer: (account) => this.#peerTask.hasLateTransfer(account),
       returnTokens: async (peerAddress, account, tokens) => { await this.#peerTask.returnTokens(peerAddress, account, tokens) }
     })
   }
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -20,15 +20,12 @@
 /** Time that a request waits for a token transfer, in milliseconds. The other gateway may have to draw the tokens first. */
 const TRANSFER_WAIT_MS = 150
 
-/** Timeout for one call of a token transfer, in milliseconds. An overloaded gateway answers late, with tokens that left its pool. */
+/** Timeout for one call of a token transfer or return, in milliseconds. An overloaded gateway answers late, with tokens that left its pool. */
 const TRANSFER_TIMEOUT_MS = 2000
 
 /** Calls for one token transfer. The other gateway gives the same tokens to each. */
 const MAXIMUM_TRANSFER_CALLS = 2
 
-/** Timeout for a return of tokens, in milliseconds. */
-const RETURN_TIMEOUT_MS = 150
-
 /** Timeout for fetching another gateway's agreement and targets, in milliseconds. */
 const STATE_TIMEOUT_MS = 1500
 
@@ -68,6 +65,8 @@
   readonly #stop = new AbortController()
   /** Replies to recent token transfers, by transfer id. */
   readonly #transferReplies = new Map<string, Promise<routers.gatewayMessages.TokenTransferReply>>()
+  /** Transfers whose request has stopped waiting, by account. */
+  readonly #lateTransfers = new Map<string, number>()
   #isFetching = false
   #nextPeerIndex = 0
   #sequence = 0
@@ -119,6 +118,7 @@
     const timelyReply = await Promise.race([reply, this.#options.clock.sleep(TRANSFER_WAIT_MS, timer.signal)])
     timer.abort()
     if (timelyReply === undefined) {
+      this.#countLateTransfer(account, 1)
       void reply.then((lateReply) => { this.#addLateTokens(peerAddress, account, lateReply) })
       return undefined
     }
@@ -139,7 +139,17 @@
     }
   }
 
+  /** Returns true if tokens may still come from a transfer that took too long. */
+  hasLateTransfer (account: string): boolean {
+    return (this.#lateTransfers.get(account) ?? 0) > 0
+  }
+
+  #countLateTransfer (account: string, change: number): void {
+    this.#lateTransfers.set(account, (this.#lateTransfers.get(account) ?? 0) + change)
+  }
+
   #addLateTokens (peerAddress: string, account: string, reply: routers.gatewayMessages.TokenTransferReply | undefined): void {
+    this.#countLateTransfer(account, -1)
     if (reply === undefined) return
     this.#options.addReturnedTokens(account, reply.tokens)
     this.#options.logger.info({ event: 'transfer-late', peer: peerAddress, account, tokens: reply.tokens })
@@ -151,7 +161,7 @@
    */
   async returnTokens (peerAddress: string, account: string, tokens: number): Promise<void> {
     try {
-      await this.#client.call(peerAddress, 'ReturnTokens', { account, tokens }, RETURN_TIMEOUT_MS)
+      await this.#client.call(peerAddress, 'ReturnTokens', { account, tokens }, TRANSFER_TIMEOUT_MS)
     } catch (error) {
       this.#options.logger.warn({ event: 'return-failed', peer: peerAddress, account, tokens, reason: (error as Error).message })
     }
--- a/packages/gateway/src/token-acquirer.ts
+++ b/packages/gateway/src/token-acquirer.ts
@@ -117,7 +117,8 @@
       const deficit = this.deficit(account)
       if (deficit <= 0 || this.#options.clock.now() >= deadline) return
       const expectedSpending = this.#pool.expectedSpending(account, PREFETCH_SECONDS, this.#seconds())
-      const requested = expectedSpending > deficit * MINIMUM_PREFETCH_RATIO ? deficit + expectedSpending : deficit
+      const isPrefetchUseful = expectedSpending > deficit * MINIMUM_PREFETCH_RATIO && !this.#options.hasLateTransfer(account)
+      const requested = isPrefetchUseful ? deficit + expectedSpending : deficit
       const received = await this.#options.requestTransfer(holder.peerAddress, account, requested)
       this.#pool.add(account, received?.tokens ?? 0)
       isUsedUp &&= received?.usedUp === true
--- a/packages/gateway/src/token-types.ts
+++ b/packages/gateway/src/token-types.ts
@@ -45,8 +45,10 @@
   gatewayCount: () => number
   /** Returns the gateways that draw the account's tokens from the token page. */
   holders: (account: string) => AccountHolders
-  /** Requests tokens from another gateway. Resolves to undefined if it doesn't answer. */
+  /** Requests tokens from another gateway. Resolves to undefined if it doesn't answer in time. */
   requestTransfer: (peerAddress: string, account: string, tokens: number) => Promise<routers.gatewayMessages.TokenTransferReply | undefined>
+  /** Returns true if tokens may still come from a transfer that took too long. */
+  hasLateTransfer: (account: string) => boolean
   /** Sends tokens that have left the pool to another gateway. */
   returnTokens: (peerAddress: string, account: string, tokens: number) => Promise<void>
 }
--- a/packages/gateway/test/budget-load.test.ts
+++ b/packages/gateway/test/budget-load.test.ts
@@ -123,6 +123,7 @@
       gatewayCount: () => this.#gatewayCount,
       holders: (account) => this.#accountHolders(account, index),
       requestTransfer: async (peerAddress, account, tokens) => await this.#gateways[Number(peerAddress)].task.handleTransfer({ transferId: '', account, tokens, asker: String(index) }),
+      hasLateTransfer: () => false,
       returnTokens: async (peerAddress, account, tokens) => { this.#gateways[Number(peerAddress)].pool.add(account, tokens) }
     })
     return { pool, task }
--- a/packages/gateway/test/token-allocator.test.ts
+++ b/packages/gateway/test/token-allocator.test.ts
@@ -23,6 +23,7 @@
   readonly #store = new stores.FakePageStore()
   readonly transfers: number[] = []
   readonly returned: Array<[account: string, tokens: number]> = []
+  hasLateTransfer = false
 
   constructor (heldByHolder: number, clock = new stores.ManualClock() as decisions.clock.Clock) {
     let held = heldByHolder
@@ -45,6 +46,7 @@
         this.transfers.push(given)
         return { tokens: given, usedUp: false, freeTokens: held }
       },
+      hasLateTransfer: () => this.hasLateTransfer,
       returnTokens: async (_peerAddress, account, tokens) => { this.returned.push([account, tokens]) }
     })
   }
@@ -85,4 +87,25 @@
       expect(gateway.transfers.slice(0, 2)).to.deep.equal([1000, Math.min(held, requests * 1000) - 1000])
     })
   }
+
+  const advances: Array<{ name: string, hasLateTransfer: boolean, leastTokens: number, mostTokens: number }> = [
+    { name: 'requests the tokens of the next seconds in advance', hasLateTransfer: false, leastTokens: 1000 + 1000, mostTokens: 1000 + 3000 },
+    { name: 'requests none in advance while tokens of a late transfer may still come', hasLateTransfer: true, leastTokens: 1000, mostTokens: 1000 }
+  ]
+  for (const { name, hasLateTransfer, leastTokens, mostTokens } of advances) {
+    it(name, async () => {
+      const clock = new stores.ManualClock()
+      const gateway = new LargeFleetGateway(100_000, clock)
+      gateway.hasLateTransfer = hasLateTransfer
+      gateway.pool.add('borrowed', 20_000)
+      for (let count = 0; count < 20; count++) {
+        await gateway.task.reserve('borrowed', 1000)
+        gateway.task.settle('borrowed', 1000, 1000)
+        clock.time += 500
+      }
+      await gateway.task.reserve('borrowed', 1000)
+      expect(gateway.transfers).to.have.length(1)
+      expect(gateway.transfers[0]).to.be.within(leastTokens, mostTokens)
+    })
+  }
 })
