Reject requests while a newer agreement is known and cannot be fetched

What callers would see: requests handled by an agreement that has been replaced for longer than allowed (CONFIG).

Cause: it heard of the version by heartbeat within a second, but fetched it from whichever gateway had sent that heartbeat, one at a time, each over a connection of its own that takes longer than the timeout of 1.5 s to open on an overloaded gateway. Meanwhile it went on with the old agreement, although it knew better. The class: a bound in time that rests on having enough processor time.

Now a slow fetch is joined after 0.4 s by one from another gateway, three at most, each with 3 s; and once a newer version has been known for a second, requests are rejected with 503 until it is in force. That bounds the time whatever the load, and frees the processor for the fetch. After ten seconds the old agreement is used again: the version may have been announced by mistake.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -37,6 +37,8 @@
   routeTable: () => decisions.routeTable.RouteTable | undefined
   /** Time since the agreement was last confirmed, in milliseconds. */
   agreementAgeMs: () => number
+  /** Returns true if a newer agreement is known to be in force elsewhere and could not be fetched in time. */
+  isAgreementOutdated: () => boolean
 }
 
 /** HTTP server for callers: admits requests by the agreement in force and passes them to the request flow. */
@@ -205,6 +207,7 @@
 
   #admit (message: http.IncomingMessage, table: decisions.routeTable.RouteTable | undefined): AdmittedRequest | calls.Refusal {
     if (table === undefined) return { status: 503, reason: 'no agreement is known yet', retryAfterMs: NOT_READY_RETRY_AFTER_MS }
+    if (this.#options.isAgreementOutdated()) return { status: 503, reason: 'a newer agreement is being fetched', retryAfterMs: NOT_READY_RETRY_AFTER_MS }
     if (headerSizeBytes(message) > table.agreement.limits.headerBytes) return { status: 431, reason: 'the headers are too large' }
     let request: adapter.callerRequest.CallerRequest
     try {
--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -9,6 +9,12 @@
 /** Least time between two sums of the other gateways' requests in flight, in milliseconds. A sum iterates over all gateways. */
 const WORK_SUM_INTERVAL_MS = 50
 
+/** Time for which a newer agreement may be known but not in force, in milliseconds. */
+const MAXIMUM_OUTDATED_MS = 1000
+
+/** Time after which an agreement that cannot be fetched is given up, in milliseconds. Its version may have been announced by mistake. */
+const MAXIMUM_WAIT_FOR_AGREEMENT_MS = 10_000
+
 /** Dependencies of the fleet exchange. */
 export interface FleetExchangeOptions {
   clock: decisions.clock.Clock
@@ -29,6 +35,8 @@
   readonly #options: FleetExchangeOptions
   #agreementConfirmedAt = -Infinity
   #workSummedAt = -Infinity
+  /** Versions of the agreement that other gateways have reported before they were in force here, in ascending order. */
+  #newerVersions: Array<{ version: number, reportedAt: number }> = []
 
   constructor (options: FleetExchangeOptions) {
     this.#options = options
@@ -44,6 +52,17 @@
     return Math.min(this.#options.configuration.silenceMs(), this.#options.clock.now() - this.#agreementConfirmedAt)
   }
 
+  /**
+   * Returns true if another gateway has had a newer agreement for so long that requests must not be handled by the one in force here. An
+   * overloaded gateway that rejects them gets the time to fetch it.
+   */
+  isAgreementOutdated (): boolean {
+    this.#newerVersions = this.#newerVersions.filter(({ version }) => version > this.#options.configuration.version)
+    if (this.#newerVersions.length === 0) return false
+    const outdatedMs = this.#options.clock.now() - this.#newerVersions[0].reportedAt
+    return outdatedMs > MAXIMUM_OUTDATED_MS && outdatedMs < MAXIMUM_WAIT_FOR_AGREEMENT_MS
+  }
+
   /** Builds a heartbeat. It carries the token counts only in a small fleet, where every gateway exchanges tokens with all others. */
   buildHeartbeat (): Omit<routers.gatewayMessages.GatewayHeartbeat, 'sequence' | 'asksForAnswer'> {
     const { board, clock, configuration, peers, targets, tokens, view } = this.#options
@@ -73,10 +92,16 @@
       board.setOtherRoutersWork(peers.othersWork(now))
     }
     if (heartbeat.agreementVersion === configuration.version) this.confirmAgreement(now - heartbeat.sender.storeSilenceMs)
+    this.#recordReportedVersion(heartbeat.agreementVersion, now)
     const needsTargets = heartbeat.targetsRevision > targets.changeRevision && (targets.changeRevision === 0 || !view.hasWatchDuty())
     if (heartbeat.agreementVersion > configuration.version || needsTargets) this.#options.fetchState(heartbeat.sender.peerAddress)
   }
 
+  #recordReportedVersion (version: number, now: number): void {
+    const newestKnown = this.#newerVersions.at(-1)?.version ?? 0
+    if (version > Math.max(newestKnown, this.#options.configuration.version)) this.#newerVersions.push({ version, reportedAt: now })
+  }
+
   /** Returns the versions of the state that this gateway has. */
   knownVersions (): routers.gatewayMessages.StateRequest {
     return { agreementVersion: this.#options.configuration.version, targetsRevision: this.#options.targets.changeRevision }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -305,7 +305,8 @@
       metrics: this.#metrics,
       flow,
       routeTable: () => this.#configurationWatch.routeTable,
-      agreementAgeMs: () => this.#fleetExchange.agreementAgeMs()
+      agreementAgeMs: () => this.#fleetExchange.agreementAgeMs(),
+      isAgreementOutdated: () => this.#fleetExchange.isAgreementOutdated()
     })
   }
 
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -27,7 +27,12 @@
 const MAXIMUM_TRANSFER_CALLS = 2
 
 /** Timeout for fetching another gateway's agreement and targets, in milliseconds. */
-const STATE_TIMEOUT_MS = 1500
+const STATE_TIMEOUT_MS = 3000
+
+/** Time after which a fetch of the state is considered slow, so that another gateway is asked too, in milliseconds. */
+const FETCH_HEDGE_DELAY_MS = 400
+
+const MAXIMUM_CONCURRENT_FETCHES = 3
 
 /** Replies to token transfers that are remembered, so that a repeated request gets the same reply instead of more tokens. */
 const MAXIMUM_REMEMBERED_TRANSFERS = 200
@@ -67,7 +72,9 @@
   readonly #transferReplies = new Map<string, Promise<routers.gatewayMessages.TokenTransferReply>>()
   /** Transfers whose request has stopped waiting, by account. */
   readonly #lateTransfers = new Map<string, number>()
-  #isFetching = false
+  /** Gateways from which a fetch of the state is in progress. */
+  readonly #fetchingFrom = new Set<string>()
+  #lastFetchAt = -Infinity
   #nextPeerIndex = 0
   #sequence = 0
 
@@ -224,16 +231,22 @@
     if (heartbeat.asksForAnswer) this.#sendHeartbeat([heartbeat.sender.peerAddress], false)
   }
 
-  /** Fetches another gateway's agreement and targets if they are newer. Does nothing while another fetch is in progress. */
+  /**
+   * Fetches another gateway's agreement and targets if they are newer. While a fetch is in progress, starts another one only from a different
+   * gateway, and only once the first takes long: its connection may be slow to open.
+   */
   async fetchState (peerAddress: string): Promise<void> {
-    if (this.#isFetching) return
-    this.#isFetching = true
+    const now = this.#options.clock.now()
+    if (this.#fetchingFrom.has(peerAddress) || this.#fetchingFrom.size >= MAXIMUM_CONCURRENT_FETCHES) return
+    if (this.#fetchingFrom.size > 0 && now - this.#lastFetchAt < FETCH_HEDGE_DELAY_MS) return
+    this.#lastFetchAt = now
+    this.#fetchingFrom.add(peerAddress)
     try {
       this.#options.onState(await this.#client.call(peerAddress, 'FetchState', this.#options.knownVersions(), STATE_TIMEOUT_MS))
     } catch (error) {
       this.#options.logger.warn({ event: 'state-fetch-failed', peer: peerAddress, reason: (error as Error).message })
     } finally {
-      this.#isFetching = false
+      this.#fetchingFrom.delete(peerAddress)
     }
   }
 }
