--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -8,15 +8,18 @@
 /** Largest part of an answer that the gateway holds in memory, in bytes. */
 const MAXIMUM_BUFFERED_BYTES = 256 * 1024
 
+/** Largest answer that is forwarded, in bytes. A target in trouble may send bytes without end. */
+const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
+
 /**
  * Passes a target's answer that is not a stream to the caller. Holds it back until it is complete, so that the request can still move to
- * another target; only an answer that is too large for that is forwarded as it arrives.
+ * another target; only an answer that is too large for that is forwarded as it arrives, up to 16 MiB.
  */
 export class AnswerRelay {
   readonly #call: calls.Call
   readonly #answer: adapter.targetRequest.TargetResponse
   #chunks: Buffer[] = []
-  #bufferedBytes = 0
+  #receivedBytes = 0
   #isForwarding = false
 
   constructor (call: calls.Call, answer: adapter.targetRequest.TargetResponse) {
@@ -28,6 +31,8 @@
   async run (source: http.IncomingMessage): Promise<flows.SendOutcome> {
     try {
       for await (const chunk of source) {
+        this.#receivedBytes += (chunk as Buffer).length
+        if (this.#receivedBytes > MAXIMUM_ANSWER_BYTES) return this.#interruptedOutcome('the answer is too large')
         if (this.#isForwarding) await this.#forward(chunk as Buffer)
         else if (!await this.#buffer(chunk as Buffer)) return this.#notForwardedOutcome('the answer is too large')
       }
@@ -40,8 +45,7 @@
   /** Buffers a part of the body, or starts to forward the answer. Returns false if it must neither be buffered nor forwarded. */
   async #buffer (chunk: Buffer): Promise<boolean> {
     this.#chunks.push(chunk)
-    this.#bufferedBytes += chunk.length
-    if (this.#bufferedBytes <= MAXIMUM_BUFFERED_BYTES) return true
+    if (this.#receivedBytes <= MAXIMUM_BUFFERED_BYTES) return true
     const { response } = this.#call
     if (!this.#isForwardable || response.headersSent || response.destroyed) return false
     this.#isForwarding = true
@@ -81,7 +85,7 @@
   }
 
   #interruptedOutcome (reason: string): flows.SendOutcome {
-    return this.#isForwarding ? { kind: 'cut', reason } : { kind: 'lost', reason }
+    return this.#isForwarding ? { kind: 'cut', reason } : this.#notForwardedOutcome(reason)
   }
 
   #notForwardedOutcome (reason: string): flows.SendOutcome {
