Reset waiting connections by listening again, instead of accepting and closing each

Cause: closing a connection takes an accept, and the event loop makes one in an iteration. An overloaded process makes 15 to 50 iterations a second, so a long accept queue took seconds to empty, in order of arrival, and new connections waited behind those that had been given up.

Now, when connections have kept waiting for 0.6 s, the process closes its listening socket and opens it again: the system resets all that wait at once, and the next ones are accepted first. Accepted connections stay open. For some microseconds a connection may be refused; its caller has sent nothing and may repeat. The metric counts these drops, and the log has one line for each.

--- a/packages/callers/src/caller-server.ts
+++ b/packages/callers/src/caller-server.ts
@@ -15,14 +15,16 @@
   readonly #server = new runtime.httpServer.HttpServer((request, response) => this.#admit(request, response))
   readonly #queue = new runtime.admissionQueue.AdmissionQueue({
     clock: new runtime.systemClock.SystemClock(),
-    setRefusesConnections: (refuses) => { this.#server.setRefusesConnections(refuses) },
-    onBacklogChange: (isTooLong) => { this.#logger.warn({ event: isTooLong ? 'connections-refused' : 'connections-accepted', waitingRequests: this.#queue.length }) }
+    dropWaitingConnections: () => {
+      this.#logger.warn({ event: 'connections-dropped', waitingRequests: this.#queue.length })
+      this.#server.dropWaitingConnections()
+    }
   })
 
   constructor (handler: types.CallHandler, logger: runtime.logging.Logger) {
     this.#handler = handler
     this.#logger = logger
-    this.#server.reportConnections(this.#queue)
+    this.#server.onConnection(() => { this.#queue.recordConnection() })
   }
 
   /** Starts listening and resolves with the port; port 0 selects a free one. */
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -24,6 +24,9 @@
 /** Retry-after delay while the gateway has no agreement, or one too old to refuse for good, in milliseconds. */
 const NOT_READY_RETRY_AFTER_MS = 500
 
+/** Connections that may wait to be accepted. */
+const LISTEN_BACKLOG = 1024
+
 /** Mean retry-after delay of requests that an overloaded gateway rejects, in milliseconds. */
 const OVERLOAD_RETRY_AFTER_MS = 800
 
@@ -57,16 +60,9 @@
     this.#server = http.createServer(serverOptions, (message, response) => { this.#enqueue(message, response) })
     this.#queue = new runtime.admissionQueue.AdmissionQueue({
       clock: options.clock,
-      setRefusesConnections: (refuses) => { this.#server.maxConnections = refuses ? 1 : Infinity },
-      onBacklogChange: (isTooLong) => {
-        options.logger.warn({ event: isTooLong ? 'connections-refused' : 'connections-accepted', waitingRequests: this.#queue.length, inProgress: this.#inProgress })
-      }
-    })
-    this.#server.on('connection', () => { this.#queue.recordAccepted() })
-    this.#server.on('drop', () => {
-      this.#queue.recordRefused()
-      options.metrics.countRefusedConnection()
+      dropWaitingConnections: () => { this.#dropWaitingConnections() }
     })
+    this.#server.on('connection', () => { this.#queue.recordConnection() })
   }
 
   get inProgress (): number {
@@ -76,10 +72,16 @@
   listen (port: number, address: string): Promise<void> {
     return new Promise((resolve, reject) => {
       this.#server.once('error', reject)
-      this.#server.listen(port, address, 1024, () => { resolve() })
+      this.#server.listen(port, address, LISTEN_BACKLOG, () => { resolve() })
     })
   }
 
+  #dropWaitingConnections (): void {
+    this.#options.metrics.countConnectionDrop()
+    this.#options.logger.warn({ event: 'connections-dropped', waitingRequests: this.#queue.length, inProgress: this.#inProgress })
+    runtime.reopenListener.reopenListener(this.#server, LISTEN_BACKLOG)
+  }
+
   /** Applies the agreement's timeouts for callers' connections. */
   applyLimits (limits: decisions.agreementTypes.CallerLimits): void {
     this.#server.keepAliveTimeout = limits.idleTimeoutMs
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -21,7 +21,7 @@
   readonly #requestSeconds: metrics.Histogram
   readonly #firstEventSeconds: metrics.Histogram
   readonly #readDelaySeconds: metrics.Histogram
-  readonly #refusedConnections: metrics.Counter
+  readonly #connectionDrops: metrics.Counter
 
   constructor (source: GaugeSource) {
     const registers = [this.#server.registry]
@@ -30,7 +30,7 @@
     this.#requestSeconds = new metrics.Histogram({ name: 'acaciaweir_request_seconds', help: 'Time to the end of the answer', buckets, registers })
     this.#firstEventSeconds = new metrics.Histogram({ name: 'acaciaweir_first_event_seconds', help: 'Time to the first event of a stream', buckets, registers })
     this.#readDelaySeconds = new metrics.Histogram({ name: 'acaciaweir_read_delay_seconds', help: 'Longest time for which a request can have waited to be read', buckets, registers })
-    this.#refusedConnections = new metrics.Counter({ name: 'acaciaweir_refused_connections_total', help: 'Connections that were closed unread because the gateway is overloaded', registers })
+    this.#connectionDrops = new metrics.Counter({ name: 'acaciaweir_connection_drops_total', help: 'Times that the connections waiting to be accepted were dropped', registers })
     this.#server.addGauge('acaciaweir_requests_in_progress', 'Requests in progress', source.requestsInProgress)
     this.#server.addGauge('acaciaweir_agreement_version', 'Version of the agreement in force', source.agreementVersion)
     this.#server.addGauge('acaciaweir_live_peers', 'Other gateways heard lately', source.livePeers)
@@ -52,8 +52,8 @@
     this.#readDelaySeconds.observe(seconds)
   }
 
-  countRefusedConnection (): void {
-    this.#refusedConnections.inc()
+  countConnectionDrop (): void {
+    this.#connectionDrops.inc()
   }
 
   listen (port: number, address: string): Promise<number> {
--- a/packages/runtime/src/admission-queue.ts
+++ b/packages/runtime/src/admission-queue.ts
@@ -9,19 +9,14 @@
 /** Longest time for which waiting connections delay the requests of accepted ones, in milliseconds. */
 const MAXIMUM_ACCEPT_PRIORITY_MS = 50
 
-/** Time for which connections may be waiting without a gap before further ones are refused, in milliseconds. */
-const MAXIMUM_ACCEPT_BACKLOG_MS = 1000
-
-/** Interval at which a connection is accepted while others are refused, in milliseconds. */
-const ACCEPT_INTERVAL_MS = 200
+/** Time for which connections may be waiting without a gap before those that wait are dropped, in milliseconds. */
+const MAXIMUM_ACCEPT_BACKLOG_MS = 600
 
 /** Dependencies of an admission queue. */
 export interface AdmissionQueueOptions {
   clock: decisions.clock.Clock
-  /** Makes the server close new connections unread, or accept them again. */
-  setRefusesConnections: (refuses: boolean) => void
-  /** Called when connections have waited for too long, and when none waits any more. */
-  onBacklogChange: (isTooLong: boolean) => void
+  /** Resets the connections that wait to be accepted. Called at most once a second. */
+  dropWaitingConnections: () => void
 }
 
 /** A request that has been read but not started. */
@@ -55,9 +50,6 @@
   #hasNewConnection = false
   #lastStartAt = -Infinity
   #acceptBacklogSince: number | undefined
-  #lastAcceptAt = -Infinity
-  #isBacklogTooLong = false
-  #refusesConnections = false
 
   constructor (options: AdmissionQueueOptions) {
     this.#options = options
@@ -74,14 +66,8 @@
     this.#schedule()
   }
 
-  /** Call it for each connection that the server has accepted. */
-  recordAccepted (): void {
-    this.#lastAcceptAt = this.#options.clock.now()
-    this.recordRefused()
-  }
-
-  /** Call it for each connection that the server has refused. */
-  recordRefused (): void {
+  /** Call it for each new connection. */
+  recordConnection (): void {
     this.#hasNewConnection = true
     this.#acceptBacklogSince ??= this.#options.clock.now()
     this.#schedule()
@@ -101,19 +87,16 @@
     const hasAcceptBacklog = this.#hasNewConnection
     this.#hasNewConnection = false
     if (!hasAcceptBacklog) this.#acceptBacklogSince = undefined
-    this.#updateConnections(now)
+    this.#limitAcceptBacklog(now)
     if (!hasAcceptBacklog || now - this.#lastStartAt > MAXIMUM_ACCEPT_PRIORITY_MS) this.#startRequests(now)
     this.#turn += 1
     if (hasAcceptBacklog || this.#entries.length > 0) this.#schedule()
   }
 
-  #updateConnections (now: number): void {
-    const isTooLong = this.#acceptBacklogSince !== undefined && now - this.#acceptBacklogSince > MAXIMUM_ACCEPT_BACKLOG_MS
-    const refuses = isTooLong && now - this.#lastAcceptAt < ACCEPT_INTERVAL_MS
-    if (refuses !== this.#refusesConnections) this.#options.setRefusesConnections(refuses)
-    if (isTooLong !== this.#isBacklogTooLong) this.#options.onBacklogChange(isTooLong)
-    this.#refusesConnections = refuses
-    this.#isBacklogTooLong = isTooLong
+  #limitAcceptBacklog (now: number): void {
+    if (this.#acceptBacklogSince === undefined || now - this.#acceptBacklogSince <= MAXIMUM_ACCEPT_BACKLOG_MS) return
+    this.#acceptBacklogSince = undefined
+    this.#options.dropWaitingConnections()
   }
 
   /** Ends the requests that have waited too long or whose callers have left, and starts others, newest first. */
--- a/packages/runtime/src/http-server.ts
+++ b/packages/runtime/src/http-server.ts
@@ -1,5 +1,8 @@
 import * as http from 'node:http'
-import type * as admissionQueues from './admission-queue.js'
+import * as reopenListener from './reopen-listener.js'
+
+/** Connections that may wait to be accepted. */
+const LISTEN_BACKLOG = 511
 
 /** An HTTP server that can close without interrupting requests in progress. */
 export class HttpServer {
@@ -12,22 +15,21 @@
     this.#server.keepAliveTimeout = 60_000
   }
 
-  /** Reports each new connection to a queue, and lets the queue refuse further ones. */
-  reportConnections (queue: admissionQueues.AdmissionQueue): void {
-    this.#server.on('connection', () => { queue.recordAccepted() })
-    this.#server.on('drop', () => { queue.recordRefused() })
+  /** Reports each new connection. */
+  onConnection (listener: () => void): void {
+    this.#server.on('connection', listener)
   }
 
-  /** Makes the server close new connections unread, or accept them again. */
-  setRefusesConnections (refuses: boolean): void {
-    this.#server.maxConnections = refuses ? 1 : Infinity
+  /** Resets the connections that wait to be accepted. */
+  dropWaitingConnections (): void {
+    reopenListener.reopenListener(this.#server, LISTEN_BACKLOG)
   }
 
   /** Starts listening and resolves with the port; port 0 selects a free one. */
   listen (port: number, address: string): Promise<number> {
     return new Promise((resolve, reject) => {
       this.#server.once('error', reject)
-      this.#server.listen(port, address, () => {
+      this.#server.listen(port, address, LISTEN_BACKLOG, () => {
         const bound = this.#server.address()
         resolve(typeof bound === 'object' && bound !== null ? bound.port : port)
       })
