--- a/packages/runtime/src/admission-queue.ts
+++ b/packages/runtime/src/admission-queue.ts
@@ -9,13 +9,13 @@
 /** Longest time for which waiting connections delay the requests of accepted ones, in milliseconds. */
 const MAXIMUM_ACCEPT_PRIORITY_MS = 50
 
-/** Time for which connections may be waiting without a gap before those that wait are dropped, in milliseconds. */
+/** Time for which connections may wait without a gap before those that wait are reset, in milliseconds. */
 const MAXIMUM_ACCEPT_BACKLOG_MS = 600
 
 /** Dependencies of an admission queue. */
 export interface AdmissionQueueOptions {
   clock: decisions.clock.Clock
-  /** Resets the connections that wait to be accepted. Called at most once a second. */
+  /** Resets the connections that wait to be accepted. */
   dropWaitingConnections: () => void
 }
 
--- a/packages/runtime/src/read-delay.ts
+++ b/packages/runtime/src/read-delay.ts
@@ -1,8 +1,8 @@
 import { performance } from 'node:perf_hooks'
 
 /**
- * Measures how long received data may have waited for its handler. The kernel does not tell when data arrived, but data that is read in one
- * iteration of the event loop arrived after the poll of the iteration before, unless the loop was idle in between.
+ * Measures how long received data may have waited for its handler. The kernel does not tell when data arrived, but it was not readable yet when
+ * the event loop last polled and read other data. If the loop has been idle since, it has arrived just now.
  */
 export class ReadDelayMeter {
   #iterationStartedAt: number | undefined
