Log the shared prompt parts of requests whose answers were lost

The lines of the incident could not tell whether the requests lost when targets ended share a part of their prompt. Only requests with a lost or cut send get the field, so that the volume stays bounded.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -277,6 +277,7 @@
       agreementAgeMs: Math.round(this.#options.agreementAgeMs()),
       promptTokens: call.request.promptTokens,
       outputTokens: call.request.maximumOutputTokens,
+      promptParts: sharedPartsForLog(call),
       budget: call.budget,
       waitsMs: call.request.remainingMs,
       ...arrivalForLog(call.arrival),
@@ -300,6 +301,12 @@
   return { caller, requestOnConnection, readDelayMs: Math.round(readDelayMs), queuedMs: Math.round(queuedMs) }
 }
 
+/** Returns the ids of the prompt parts that other requests may share, if a target may have ended under them. Undefined otherwise, to bound the log. */
+function sharedPartsForLog (call: calls.Call): string[] | undefined {
+  const hasLostSend = call.sends.some((send) => send.result === 'lost' || send.result === 'cut')
+  return hasLostSend ? call.request.promptParts.slice(0, -1).map((part) => part.id) : undefined
+}
+
 /** Returns the size of the headers on the wire, including separators and line ends. */
 function headerSizeBytes (message: http.IncomingMessage): number {
   return message.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
