Reproduce a prompt part that crashes one target after the other (red)

The stand-in targets crash under prompt parts: before the head of the answer, after it or after some events, with all connections reset; they come back under a new id a second later, and the old entry lapses.

--- a/packages/runtime/src/http-server.ts
+++ b/packages/runtime/src/http-server.ts
@@ -1,4 +1,5 @@
 import * as http from 'node:http'
+import type * as net from 'node:net'
 import * as reopenListener from './reopen-listener.js'
 
 /** Connections that may wait to be accepted. */
@@ -16,7 +17,7 @@
   }
 
   /** Reports each new connection. */
-  onConnection (listener: () => void): void {
+  onConnection (listener: (socket: net.Socket) => void): void {
     this.#server.on('connection', listener)
   }
 
--- a/packages/stand-ins/src/platform-stand-in.ts
+++ b/packages/stand-ins/src/platform-stand-in.ts
@@ -4,6 +4,10 @@
 /** Host name of all routes in the stand-in configuration. */
 export const ROUTE_HOST = 'plans.example'
 
+/** Time after a crash until the target is back under a new id, and until its old entry lapses, in milliseconds. */
+const RESTART_MS = 1000
+const ENTRY_LAPSE_MS = 1500
+
 /** A client account in the stand-in configuration. */
 export interface ClientAccount {
   name: string
@@ -26,6 +30,12 @@
   readonly store = new store.StoreServer()
   readonly targets: targets.TargetServer[] = []
   accounts: ClientAccount[]
+  /** Prompt parts under which the targets crash. */
+  readonly crashingParts = new Map<string, targets.CrashMoment>()
+  /** Times at which targets crashed. */
+  readonly crashTimes: number[] = []
+  readonly #crashedTargets: targets.TargetServer[] = []
+  readonly #timers = new Set<NodeJS.Timeout>()
   #version = 0
 
   constructor (accounts: ClientAccount[]) {
@@ -42,12 +52,33 @@
     const target = new targets.TargetServer({
       id, service, availabilityZone: 'zone-a', slots: 32, workMs: 5, eventIntervalMs: 2, events: 6, answerBytes: 0, ...options
     })
+    target.crashingParts = this.crashingParts
+    target.onCrash = () => { this.#replaceCrashed(target, service) }
     await target.listen()
     this.targets.push(target)
     this.store.putObject('servers', target.options.id, target.registryEntry())
     return target
   }
 
+  /** Starts a new target in place of one that crashed, under a new id. */
+  #replaceCrashed (target: targets.TargetServer, service: 'engines' | 'orders'): void {
+    this.crashTimes.push(performance.now())
+    this.#crashedTargets.push(target)
+    this.targets.splice(this.targets.indexOf(target), 1)
+    const [base, restarts] = target.options.id.split('-restart-')
+    const id = `${base}-restart-${Number(restarts ?? 0) + 1}`
+    this.#startTimer(RESTART_MS, () => { void this.addTarget(service, id, { ...target.options, id }) })
+    this.#startTimer(ENTRY_LAPSE_MS, () => { this.store.removeObject('servers', target.options.id) })
+  }
+
+  #startTimer (milliseconds: number, action: () => void): void {
+    const timer = setTimeout(() => {
+      this.#timers.delete(timer)
+      action()
+    }, milliseconds)
+    this.#timers.add(timer)
+  }
+
   /** Publishes a new version of the configuration. */
   configure (overrides: ConfigurationOverrides = {}): void {
     this.#version += 1
@@ -70,9 +101,9 @@
     })
   }
 
-  /** Returns the runs of all targets. */
+  /** Returns the runs of all targets, also of those that have crashed. */
   runs (): targets.TargetRun[] {
-    return this.targets.flatMap((target) => target.runs)
+    return [...this.#crashedTargets, ...this.targets].flatMap((target) => target.runs)
   }
 
   /**
@@ -91,6 +122,7 @@
   }
 
   close (): void {
+    for (const timer of this.#timers) clearTimeout(timer)
     for (const target of this.targets) target.close()
     this.store.close()
   }
--- a/packages/stand-ins/src/target-server.ts
+++ b/packages/stand-ins/src/target-server.ts
@@ -34,6 +34,13 @@
 } as const
 export type TargetFault = typeof TargetFault[keyof typeof TargetFault]
 
+/** When a target crashes under a request with a crashing prompt part. */
+export const CrashMoment = { beforeHead: 'before-head', afterHead: 'after-head', afterEvents: 'after-events' } as const
+export type CrashMoment = typeof CrashMoment[keyof typeof CrashMoment]
+
+/** Events that reach the gateway before a crash at `afterEvents`. */
+const EVENTS_BEFORE_CRASH = 2
+
 /** Identity, capacity and timing of a stand-in target. */
 export interface TargetOptions {
   id: string
@@ -57,6 +64,8 @@
   path: string
   /** `PROMPT,OUTPUT`: prompt tokens and maximum output tokens, as the request states them; undefined for a plain service. */
   tokenCounts: string | undefined
+  /** Ids of the prompt parts, in order. */
+  parts: string[]
   /** Last event id from which the run continues a stream; undefined if it starts one. */
   lastEventId: number | undefined
   /** The request carried the caller's API key. */
@@ -100,6 +109,12 @@
   #inProgress = 0
   #address = ''
   fault: TargetFault = TargetFault.none
+  /** Prompt parts under which the target crashes. The last part of a prompt has no effect. */
+  crashingParts: ReadonlyMap<string, CrashMoment> = new Map()
+  /** Called when the target has crashed. */
+  onCrash: () => void = () => {}
+  readonly #sockets = new Set<net.Socket>()
+  #hasCrashed = false
   /** Requests received, also those that it rejected. */
   receivedRequests = 0
   /** Connections on which an endless answer is being sent. */
@@ -107,6 +122,14 @@
 
   constructor (options: TargetOptions) {
     this.options = options
+    this.#server.onConnection((socket) => {
+      this.#sockets.add(socket)
+      socket.on('close', () => { this.#sockets.delete(socket) })
+    })
+  }
+
+  get hasCrashed (): boolean {
+    return this.#hasCrashed
   }
 
   /** Listens on a loopback port, by default a free one, and returns the address. */
@@ -119,6 +142,15 @@
     this.#server.closeNow()
   }
 
+  /** Ends as a process does that is killed: stops listening and resets all connections. */
+  crash (): void {
+    if (this.#hasCrashed) return
+    this.#hasCrashed = true
+    for (const socket of this.#sockets) socket.resetAndDestroy()
+    this.#server.closeNow()
+    this.onCrash()
+  }
+
   /** Returns the object with which the target registers in the store. */
   registryEntry (state: 'ready' | 'draining' = 'ready'): object {
     const { service, availabilityZone, slots } = this.options
@@ -169,6 +201,7 @@
       account: message.headers.tenant as string | undefined,
       path: message.url ?? '',
       tokenCounts: message.headers['token-counts'] as string | undefined,
+      parts: partIds(message),
       lastEventId: lastEventId === undefined ? undefined : Number(lastEventId),
       wasKeyForwarded: message.headers['api-key'] !== undefined,
       remainingMs: Number(message.headers['deadline-remaining-ms']),
@@ -184,6 +217,7 @@
     const answeredId = this.fault === TargetFault.foreignAnswers ? 'another-request' : run.attemptId
     const headers = { 'attempt-id': answeredId, 'replica-seal': `seal-${this.options.id}` }
     if (this.fault === TargetFault.loseAnswers) { message.socket.resetAndDestroy(); return }
+    if (this.#crashMoment(run) === CrashMoment.beforeHead) { this.crash(); return }
     if (this.fault === TargetFault.failing) { response.writeHead(500, headers).end('failed'); return }
     if (run.tokenCounts !== undefined) { await this.#streamEvents(message, response, run, headers); return }
     const text = `${this.options.service} ran ${run.path} with ${body.length} bytes`.padEnd(this.options.answerBytes)
@@ -192,11 +226,24 @@
     if (this.fault === TargetFault.extraBytes) message.socket.write('HTTP/1.1 200 OK\r\nAttempt-Id: nobody\r\nContent-Length: 0\r\n\r\n')
   }
 
+  #crashMoment (run: TargetRun): CrashMoment | undefined {
+    const part = run.parts.slice(0, -1).find((id) => this.crashingParts.has(id))
+    return part === undefined ? undefined : this.crashingParts.get(part)
+  }
+
   async #streamEvents (message: http.IncomingMessage, response: http.ServerResponse, run: TargetRun, headers: Record<string, string>): Promise<void> {
     response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' })
     const { events, eventIntervalMs } = this.options
+    const crashMoment = this.#crashMoment(run)
+    if (crashMoment === CrashMoment.afterHead) {
+      response.flushHeaders()
+      await sleep(eventIntervalMs)
+      this.crash()
+      return
+    }
     for (let id = (run.lastEventId ?? 0) + 1; id <= events; id++) {
       if (response.destroyed) return
+      if (crashMoment === CrashMoment.afterEvents && run.sentEvents === EVENTS_BEFORE_CRASH) { this.crash(); return }
       if (this.fault === TargetFault.cutStreams && id > events / 2) {
         response.write(`id: ${id}\nda`, () => { message.socket.resetAndDestroy() })
         return
@@ -209,6 +256,11 @@
   }
 }
 
+function partIds (message: http.IncomingMessage): string[] {
+  const prefix = message.headers['prompt-prefix']
+  return typeof prefix === 'string' ? prefix.split(',').map((entry) => entry.split(':')[0]) : []
+}
+
 async function sleep (milliseconds: number): Promise<void> {
   await new Promise<void>((resolve) => { setTimeout(resolve, milliseconds) })
 }
