Hold back prompt parts under which targets crash

Cause: a gateway kept the failures of a target only. Nothing remembered what the requests carried that were lost as targets ended, and no gateway saw more than a few of the crashes, so each request with the part went to the next sound target. Class: failures are put down to where they happen, never to what was sent.

Why this works: a part that crashes every target is never answered completely, so complete answers clear a part and crashes since the last one count against it. Gateways exchange the crashes in heartbeats, at once when one is new, so that all hold the part back by what all of them saw; a gateway that starts later learns it from the first heartbeat. Requests with a held part are refused before tokens are reserved, and lost requests with a suspected part are not sent again.

--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -1,4 +1,5 @@
 import type * as adapter from '@acaciaweir/platform-adapter'
+import * as runtime from '@acaciaweir/runtime'
 import type * as http from 'node:http'
 import * as answers from './answers.js'
 import type * as calls from './call.js'
@@ -37,9 +38,9 @@
         else if (!await this.#buffer(chunk as Buffer)) return this.#notForwardedOutcome('the answer is too large')
       }
     } catch (error) {
-      return this.#interruptedOutcome((error as Error).message)
+      return this.#interruptedOutcome((error as Error).message, runtime.httpCall.isConnectionLost(error))
     }
-    return source.complete ? this.#complete() : this.#interruptedOutcome('the answer ended early')
+    return source.complete ? this.#complete() : this.#interruptedOutcome('the answer ended early', true)
   }
 
   /** Buffers a part of the body, or starts to forward the answer. Returns false if it must neither be buffered nor forwarded. */
@@ -84,11 +85,11 @@
     return body
   }
 
-  #interruptedOutcome (reason: string): flows.SendOutcome {
-    return this.#isForwarding ? { kind: 'cut', reason } : this.#notForwardedOutcome(reason)
+  #interruptedOutcome (reason: string, isConnectionLost = false): flows.SendOutcome {
+    return this.#isForwarding ? { kind: 'cut', reason, isConnectionLost } : this.#notForwardedOutcome(reason, isConnectionLost)
   }
 
-  #notForwardedOutcome (reason: string): flows.SendOutcome {
-    return this.#answer.wasNotExecuted ? { kind: 'not-run', reason: `status ${this.#answer.status}` } : { kind: 'lost', reason }
+  #notForwardedOutcome (reason: string, isConnectionLost = false): flows.SendOutcome {
+    return this.#answer.wasNotExecuted ? { kind: 'not-run', reason: `status ${this.#answer.status}` } : { kind: 'lost', reason, isConnectionLost }
   }
 }
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -23,6 +23,10 @@
   abortReason: 'caller' | 'deadline' | undefined
   /** Finished sends of the request to targets, in order. */
   sends: SendRecord[]
+  /** Ids of the prompt parts that other requests may share, in order. */
+  sharedParts: readonly string[]
+  /** Evidence for which the call was refused, because targets crash under one of its prompt parts. */
+  heldPart?: decisions.promptPartBoard.HeldPart
   /** Inputs of the budget decision, for the log. Set only where the budget refused the call. */
   budget?: Record<string, unknown>
   /** Events of the target's stream that were forwarded to the caller. */
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -180,6 +180,7 @@
       abortController: new AbortController(),
       abortReason: undefined,
       sends: [],
+      sharedParts: request.promptParts.slice(0, -1).map((part) => part.id),
       events: 0,
       lastEventId: request.lastEventId,
       firstEventAt: undefined,
@@ -278,6 +279,7 @@
       promptTokens: call.request.promptTokens,
       outputTokens: call.request.maximumOutputTokens,
       promptParts: sharedPartsForLog(call),
+      heldPart: call.heldPart,
       budget: call.budget,
       waitsMs: call.request.remainingMs,
       ...arrivalForLog(call.arrival),
@@ -302,9 +304,9 @@
 }
 
 /** Returns the ids of the prompt parts that other requests may share, if a target may have ended under them. Undefined otherwise, to bound the log. */
-function sharedPartsForLog (call: calls.Call): string[] | undefined {
+function sharedPartsForLog (call: calls.Call): readonly string[] | undefined {
   const hasLostSend = call.sends.some((send) => send.result === 'lost' || send.result === 'cut')
-  return hasLostSend ? call.request.promptParts.slice(0, -1).map((part) => part.id) : undefined
+  return hasLostSend ? call.sharedParts : undefined
 }
 
 /** Returns the size of the headers on the wire, including separators and line ends. */
--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -24,6 +24,7 @@
   configuration: configurations.ConfigurationWatch
   targets: targetWatches.TargetWatch
   tokens: tokenAllocators.TokenAllocator
+  promptParts: decisions.promptPartBoard.PromptPartBoard
   /** Returns this gateway's own entry, the sender of its heartbeats. */
   member: () => routers.gatewayMessages.GatewayMember
   /** Fetches a newer agreement and newer targets from a gateway. */
@@ -65,7 +66,7 @@
 
   /** Builds a heartbeat. It carries the token counts only in a small fleet, where every gateway exchanges tokens with all others. */
   buildHeartbeat (): Omit<routers.gatewayMessages.GatewayHeartbeat, 'sequence' | 'asksForAnswer'> {
-    const { board, clock, configuration, peers, targets, tokens, view } = this.#options
+    const { board, clock, configuration, peers, promptParts, targets, tokens, view } = this.#options
     const sharesTokenCounts = view.gatewayCount() <= decisions.fleetSize.MAXIMUM_SMALL_FLEET_SIZE
     return {
       sender: this.#options.member(),
@@ -75,6 +76,7 @@
       work: Object.entries(board.ownWork()).map(([id, work]) => ({ id, ...work })),
       freeTokens: sharesTokenCounts ? tokens.freeTokens() : {},
       spending: sharesTokenCounts ? tokens.spending() : {},
+      promptParts: promptParts.reports(clock.now()),
       leavingTargets: board.entries().filter((entry) => entry.leaving).map((entry) => entry.id)
     }
   }
@@ -84,8 +86,9 @@
    * none yet or doesn't watch the store itself.
    */
   applyHeartbeat (heartbeat: routers.gatewayMessages.GatewayHeartbeat): void {
-    const { board, clock, configuration, peers, targets, view } = this.#options
+    const { board, clock, configuration, peers, promptParts, targets, view } = this.#options
     const now = clock.now()
+    promptParts.merge(heartbeat.promptParts, now)
     for (const id of heartbeat.leavingTargets) board.markLeaving(id)
     if (now - this.#workSummedAt >= WORK_SUM_INTERVAL_MS) {
       this.#workSummedAt = now
--- a/packages/gateway/src/fleet-view.ts
+++ b/packages/gateway/src/fleet-view.ts
@@ -34,6 +34,12 @@
     return this.#peers.servingGateways(this.#clock.now())
   }
 
+  /** Returns the position of this gateway in an order of all live gateways for a key, from 0. All gateways agree on it as far as they hear the same ones. */
+  rankFor (key: string): number {
+    const names = [this.#self.name, ...this.#live().map(({ sender }) => sender.host)]
+    return decisions.hashing.rendezvousOrder(names, key, (name) => name).indexOf(this.#self.name)
+  }
+
   /** Returns true if this gateway has to watch the store itself instead of fetching changes from other gateways. */
   hasWatchDuty (): boolean {
     const others = this.#live().map(({ sender }) => ({ name: sender.host, availabilityZone: sender.availabilityZone, storeSilenceMs: sender.storeSilenceMs }))
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -7,6 +7,7 @@
   requestsInProgress: () => number
   agreementVersion: () => number
   livePeers: () => number
+  heldPromptParts: () => number
   freeTokens: () => Record<string, number>
   storeCalls: () => platform.objectStore.StoreCallCounts
   droppedLogLines: () => number
@@ -34,6 +35,7 @@
     this.#server.addGauge('acaciaweir_requests_in_progress', 'Requests in progress', source.requestsInProgress)
     this.#server.addGauge('acaciaweir_agreement_version', 'Version of the agreement in force', source.agreementVersion)
     this.#server.addGauge('acaciaweir_live_peers', 'Other gateways heard lately', source.livePeers)
+    this.#server.addGauge('acaciaweir_held_prompt_parts', 'Prompt parts held back because targets crash under them', source.heldPromptParts)
     this.#server.addGauge('acaciaweir_dropped_log_lines', 'Log lines that no reader took in time', source.droppedLogLines)
     this.#server.addLabelledGauge('acaciaweir_free_tokens', 'Free tokens in the pool', 'account', source.freeTokens)
     this.#server.addLabelledGauge('acaciaweir_store_calls', 'Calls to the store since the start', 'kind', source.storeCalls)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -66,6 +66,7 @@
   readonly #random: decisions.random.RandomSource
   readonly #store: platform.objectStore.ObjectStore
   readonly #targetBoard = new decisions.targetBoard.TargetBoard()
+  readonly #promptParts: decisions.promptPartBoard.PromptPartBoard
   readonly #tokenPool = new decisions.tokenPool.TokenPool()
   readonly #retryAllowance: decisions.retryAllowance.RetryAllowance
   readonly #targetConnections = new targetConnections.TargetConnections()
@@ -91,6 +92,10 @@
     this.#random = new decisions.random.SeededRandom(options.seed ?? crypto.randomInt(2 ** 31))
     this.#logger = options.log.logger.child({ incarnation: this.#incarnation })
     this.#store = new adapter.storeClient.StoreClient({ address: options.settings.storeAddress, timeoutMs: STORE_TIMEOUT_MS, logger: this.#logger })
+    this.#promptParts = new decisions.promptPartBoard.PromptPartBoard(options.settings.host, {
+      onHeld: (evidence) => { this.#logger.warn({ event: 'prompt-part-held', ...evidence }) },
+      onReleased: (part) => { this.#logger.info({ event: 'prompt-part-released', part }) }
+    })
     this.#peerTable = new peerTables.PeerTable(options.settings.peerListen)
     this.#fleetView = new fleetViews.FleetView({ name: options.settings.host, availabilityZone: options.settings.availabilityZone, processorShare: options.settings.processorShare }, this.#peerTable, this.#clock)
     this.#retryAllowance = new decisions.retryAllowance.RetryAllowance(options.settings.retryBudget)
@@ -263,6 +268,7 @@
       configuration: this.#configurationWatch,
       targets: this.#targetWatch,
       tokens: this.#tokenTask,
+      promptParts: this.#promptParts,
       member: () => this.#member(),
       fetchState: (peerAddress) => { void this.#peerTask.fetchState(peerAddress) }
     })
@@ -292,6 +298,9 @@
       connections: this.#targetConnections,
       tokens: this.#tokenTask,
       retryAllowance: this.#retryAllowance,
+      promptParts: this.#promptParts,
+      rankFor: (key) => this.#fleetView.rankFor(key),
+      announce: () => { void this.#peerTask.announceSoon() },
       availabilityZone: this.#settings.availabilityZone,
       findService: (name) => this.#configurationWatch.routeTable?.service(name),
       gatewayCount: () => this.#fleetView.gatewayCount(),
@@ -315,6 +324,7 @@
       requestsInProgress: () => this.#callerServer.inProgress,
       agreementVersion: () => this.#configurationWatch.version,
       livePeers: () => this.#peerTable.liveHeartbeats(this.#clock.now()).length,
+      heldPromptParts: () => this.#promptParts.heldParts,
       freeTokens: () => this.#tokenTask.freeTokens(),
       storeCalls: () => this.#store.callCounts,
       droppedLogLines: this.#options.log.droppedLines
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -34,6 +34,9 @@
 
 const MAXIMUM_CONCURRENT_FETCHES = 3
 
+/** Least time between two heartbeats with news to all gateways, in milliseconds. Losses come in groups when a target ends. */
+const NEWS_INTERVAL_MS = 100
+
 /** Replies to token transfers that are remembered, so that a repeated request gets the same reply instead of more tokens. */
 const MAXIMUM_REMEMBERED_TRANSFERS = 200
 
@@ -77,6 +80,7 @@
   #lastFetchAt = -Infinity
   #nextPeerIndex = 0
   #sequence = 0
+  #isNewsPending = false
 
   constructor (options: PeerTaskOptions) {
     super()
@@ -218,6 +222,15 @@
     return round
   }
 
+  /** Sends a heartbeat to all known gateways soon, together with what else changes until then. */
+  async announceSoon (): Promise<void> {
+    if (this.#isNewsPending) return
+    this.#isNewsPending = true
+    await this.#options.clock.sleep(NEWS_INTERVAL_MS, this.#stop.signal)
+    this.#isNewsPending = false
+    if (!this.#stop.signal.aborted) this.#sendHeartbeat(this.#options.table.pruneAndListAddresses(this.#options.clock.now()), false)
+  }
+
   #sendHeartbeat (addresses: string[], asksForAnswer: boolean): void {
     this.#sequence += 1
     this.#heartbeats.send({ ...this.#options.buildHeartbeat(), sequence: this.#sequence, asksForAnswer }, addresses)
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -35,6 +35,11 @@
   connections: connections.TargetConnections
   tokens: tokenAllocators.TokenAllocator
   retryAllowance: decisions.retryAllowance.RetryAllowance
+  promptParts: decisions.promptPartBoard.PromptPartBoard
+  /** Position of this gateway in an order of all live gateways for a key, from 0. */
+  rankFor: (key: string) => number
+  /** Sends a heartbeat with new evidence about prompt parts to the other gateways. */
+  announce: () => void
   availabilityZone: string
   findService: (name: string) => decisions.agreementTypes.Service | undefined
   /** Number of live gateways, including this one. */
@@ -48,11 +53,11 @@
   /** The target did not run the request, and the caller received nothing. */
   | { kind: 'not-run', reason: string }
   /** The target may have run the request, but the caller received nothing. */
-  | { kind: 'lost', reason: string }
+  | { kind: 'lost', reason: string, isConnectionLost: boolean }
   /** The target answered with a server error, which is not forwarded yet. */
   | { kind: 'failed', answer: answers.BufferedAnswer }
   /** The stream ended early, after the caller received events. */
-  | { kind: 'cut', reason: string }
+  | { kind: 'cut', reason: string, isConnectionLost: boolean }
 
 /** Serves admitted calls: reserves tokens, chooses targets, sends, retries where that is safe, and settles the reservation. */
 export class RequestFlow {
@@ -65,6 +70,7 @@
   /** Serves a call until its response has ended. Returns the outcome for the log and the metrics. */
   async serve (call: calls.Call): Promise<string> {
     this.#options.retryAllowance.recordRequest(call.service, this.#options.clock.now())
+    if (this.#isHeldBack(call)) return this.#refuseHeldPart(call)
     const reservedTokens = this.#worstCaseTokens(call)
     if (reservedTokens > 0) {
       const refusal = await this.#reserve(call, reservedTokens)
@@ -77,6 +83,18 @@
     }
   }
 
+  /** Returns true if targets are known to crash under one of the call's prompt parts, and sets the evidence. */
+  #isHeldBack (call: calls.Call): boolean {
+    call.heldPart = this.#options.promptParts.refusal(call.sharedParts, call.account?.name ?? '', this.#options.rankFor, this.#options.clock.now())
+    return call.heldPart !== undefined
+  }
+
+  /** Refuses with the whole time until the part is tested again, so that callers who cannot wait for it need not retry. */
+  #refuseHeldPart (call: calls.Call): string {
+    answers.sendRefusal(call.response, { status: 503, reason: 'targets end under a part of the prompt', retryAfterMs: call.heldPart?.retryAfterMs })
+    return 'held-part'
+  }
+
   /** Returns the tokens to reserve: the prompt and the longest output, or 0 where no prepaid budget applies. */
   #worstCaseTokens (call: calls.Call): number {
     if (call.account?.prepaidTokens === undefined || call.request.promptTokens === undefined) return 0
@@ -110,6 +128,7 @@
     let possibleRuns = 0
     let lastFailure: SendOutcome | undefined
     while (call.abortReason === undefined) {
+      if (triedTargets.size > 0 && this.#isHeldBack(call)) break
       const placement = this.#chooseTarget(call, triedTargets)
       if (placement === undefined || (triedTargets.size > 0 && !this.#consumeRetry(call))) break
       triedTargets.add(placement.target.entry.id)
@@ -143,6 +162,7 @@
   #mayTryAnother (call: calls.Call, outcome: SendOutcome, possibleRuns: number): boolean {
     if (call.abortReason !== undefined) return false
     if (outcome.kind === 'not-run') return true
+    if (isConnectionLost(outcome) && !this.#options.promptParts.mayRepeat(call.sharedParts)) return false
     if (call.route.repetition === Repetition.atMostOnce || possibleRuns >= call.route.maximumTargets) return false
     return outcome.kind !== 'cut' || call.route.resumable
   }
@@ -162,11 +182,23 @@
     const outcome = await this.#sendAndReceive(call, placement, onPromptRead, span)
     onPromptRead()
     board.recordEnd(target.id, targetResultOf(call, outcome), clock.now())
+    this.#recordPromptParts(call, target.id, outcome)
     span.end()
     call.sends.push({ target: target.id, copyFrom: placement.copyFrom?.entry.id, result: resultForLog(outcome), reason: 'reason' in outcome ? outcome.reason : undefined, milliseconds: Math.round(clock.now() - startedAt) })
     return outcome
   }
 
+  /** Keeps what the outcome of a model request says of its prompt parts. */
+  #recordPromptParts (call: calls.Call, target: string, outcome: SendOutcome): void {
+    const { promptParts, clock, announce } = this.#options
+    const account = call.account?.name ?? ''
+    if (outcome.kind === 'answered' && isSuccess(outcome.status)) {
+      if (promptParts.recordAnswer(call.sharedParts, account, clock.now())) announce()
+    } else if (call.abortReason === undefined && isConnectionLost(outcome)) {
+      if (promptParts.recordLoss(call.sharedParts, account, target, clock.now())) announce()
+    }
+  }
+
   async #sendAndReceive (call: calls.Call, placement: decisions.placement.Placement, onPromptRead: () => void, span: Parameters<typeof runtime.telemetry.headersFromSpan>[0]): Promise<SendOutcome> {
     const sendController = new AbortController()
     const abortSend = (): void => { sendController.abort() }
@@ -175,8 +207,8 @@
       const response = await this.#options.connections.send(this.#createTargetCall(call, placement, sendController.signal, span), this.#connectionShare(call.service))
       return await this.#receiveAnswer(call, response, onPromptRead, sendController)
     } catch (error) {
-      const { knowledge, message } = toTargetError(error)
-      return knowledge === DispatchKnowledge.neverSent ? { kind: 'not-run', reason: message } : { kind: 'lost', reason: message }
+      const { knowledge, message, isConnectionLost } = toTargetError(error)
+      return knowledge === DispatchKnowledge.neverSent ? { kind: 'not-run', reason: message } : { kind: 'lost', reason: message, isConnectionLost }
     } finally {
       call.abortController.signal.removeEventListener('abort', abortSend)
     }
@@ -222,7 +254,7 @@
     if (!answer.belongsToAttempt) {
       sendController.abort()
       response.destroy()
-      return { kind: 'lost', reason: 'the answer belongs to another request' }
+      return { kind: 'lost', reason: 'the answer belongs to another request', isConnectionLost: false }
     }
     if (call.route.streaming && isSuccess(answer.status)) {
       const relay = new relays.StreamRelay(call, answer, this.#options.clock, () => {
@@ -258,6 +290,7 @@
         return 'answer-lost'
       })
       .otherwise(() => {
+        if (call.heldPart !== undefined) return this.#refuseHeldPart(call)
         const mayHaveRun = call.sends.some((send) => send.result !== 'not-run')
         this.#refuse(call, mayHaveRun ? 502 : 503, 'no target can take the request now', mayHaveRun ? undefined : NO_TARGET_RETRY_AFTER_MS)
         return mayHaveRun ? 'answer-lost' : 'no-target'
@@ -273,9 +306,13 @@
   return status >= 200 && status < 300
 }
 
+function isConnectionLost (outcome: SendOutcome): boolean {
+  return 'isConnectionLost' in outcome && outcome.isConnectionLost
+}
+
 function toTargetError (error: unknown): connections.TargetError {
   if (error instanceof connections.TargetError) return error
-  return new connections.TargetError('receive answer', (error as Error).message, DispatchKnowledge.sentNoAnswer)
+  return new connections.TargetError('receive answer', (error as Error).message, DispatchKnowledge.sentNoAnswer, runtime.httpCall.isConnectionLost(error))
 }
 
 function resultForLog (outcome: SendOutcome): string {
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -32,9 +32,9 @@
     try {
       for await (const chunk of source) await this.#forwardEvents(chunk as Buffer)
     } catch (error) {
-      return this.#interruptedOutcome((error as Error).message)
+      return this.#interruptedOutcome((error as Error).message, runtime.httpCall.isConnectionLost(error))
     }
-    if (!source.complete || this.#splitter.bufferedBytes > 0) return this.#interruptedOutcome('the stream ended early')
+    if (!source.complete || this.#splitter.bufferedBytes > 0) return this.#interruptedOutcome('the stream ended early', true)
     this.#sendHead()
     this.#call.response.end()
     return { kind: 'answered', status: this.#answer.status }
@@ -61,7 +61,7 @@
     response.writeHead(this.#answer.status, this.#answer.forwardedHeaders)
   }
 
-  #interruptedOutcome (reason: string): flows.SendOutcome {
-    return this.#call.response.headersSent ? { kind: 'cut', reason } : { kind: 'lost', reason }
+  #interruptedOutcome (reason: string, isConnectionLost: boolean): flows.SendOutcome {
+    return this.#call.response.headersSent ? { kind: 'cut', reason, isConnectionLost } : { kind: 'lost', reason, isConnectionLost }
   }
 }
--- a/packages/gateway/src/target-connections.ts
+++ b/packages/gateway/src/target-connections.ts
@@ -19,11 +19,14 @@
   readonly step: string
   readonly peer = decisions.problem.Peer.target
   readonly knowledge: decisions.retryRules.DispatchKnowledge
+  /** The target or the network ended the connection. */
+  readonly isConnectionLost: boolean
 
-  constructor (step: string, reason: string, knowledge: decisions.retryRules.DispatchKnowledge) {
+  constructor (step: string, reason: string, knowledge: decisions.retryRules.DispatchKnowledge, isConnectionLost: boolean) {
     super(`request to target failed at step "${step}": ${reason}`)
     this.step = step
     this.knowledge = knowledge
+    this.isConnectionLost = isConnectionLost
   }
 }
 
@@ -87,7 +90,7 @@
     } catch (error) {
       const wasNotSent = error instanceof runtime.httpCall.HttpCallError && error.progress === runtime.httpCall.CallProgress.notSent
       const knowledge = wasNotSent ? decisions.retryRules.DispatchKnowledge.neverSent : decisions.retryRules.DispatchKnowledge.sentNoAnswer
-      throw new TargetError('send request', (error as Error).message, knowledge)
+      throw new TargetError('send request', (error as Error).message, knowledge, error instanceof runtime.httpCall.HttpCallError && error.isConnectionLost)
     }
   }
 
--- a/packages/routers/src/gateway-messages.ts
+++ b/packages/routers/src/gateway-messages.ts
@@ -1,3 +1,5 @@
+import type * as decisions from '@acaciaweir/decisions'
+
 /** State of a gateway, as sent in its heartbeats. */
 export interface GatewayMember {
   host: string
@@ -45,6 +47,8 @@
   spending: Record<string, number>
   /** Targets known to the sender to be leaving. */
   leavingTargets: string[]
+  /** Prompt parts under which targets have crashed, as far as the sender knows. */
+  promptParts: decisions.promptPartBoard.PromptPartReport[]
   /** Increases with each heartbeat of the incarnation, because datagrams may arrive out of order. */
   sequence: number
   /** Requests a heartbeat in return. */
--- a/packages/runtime/src/http-call.ts
+++ b/packages/runtime/src/http-call.ts
@@ -22,13 +22,24 @@
 /** Error of a call that received no answer or an incomplete one. */
 export class HttpCallError extends Error {
   readonly progress: CallProgress
+  /** The server or the network ended the connection, rather than a timeout or this process. */
+  readonly isConnectionLost: boolean
 
-  constructor (message: string, progress: CallProgress) {
+  constructor (message: string, progress: CallProgress, isConnectionLost = false) {
     super(message)
     this.progress = progress
+    this.isConnectionLost = isConnectionLost
   }
 }
 
+/** Error codes of a connection that the other end closed or reset. */
+const CONNECTION_LOST_CODES = new Set(['ECONNRESET', 'EPIPE'])
+
+/** Returns true if an error of a socket, request or response means that the other end closed or reset the connection. */
+export function isConnectionLost (error: unknown): boolean {
+  return CONNECTION_LOST_CODES.has((error as NodeJS.ErrnoException).code ?? '')
+}
+
 /** A complete HTTP answer. */
 export interface HttpAnswer {
   status: number
@@ -65,7 +76,7 @@
     request.setTimeout(call.idleTimeoutMs, () => request.destroy(new Error('idle timeout')))
     request.on('error', (error: NodeJS.ErrnoException) => {
       const wasNotSent = !isConnected || NOT_CONNECTED_ERROR_CODES.has(error.code ?? '')
-      reject(new HttpCallError(error.message, wasNotSent ? CallProgress.notSent : CallProgress.sent))
+      reject(new HttpCallError(error.message, wasNotSent ? CallProgress.notSent : CallProgress.sent, isConnectionLost(error)))
       // The end of the connection also ends a close-delimited response. The HTTP parser treats a reset as such an end, too.
       if (receivedResponse !== undefined && !receivedResponse.complete) receivedResponse.destroy(error)
     })
@@ -99,7 +110,7 @@
       chunks.push(chunk as Buffer)
     }
   } catch (error) {
-    throw new HttpCallError((error as Error).message, CallProgress.sent)
+    throw new HttpCallError((error as Error).message, CallProgress.sent, isConnectionLost(error))
   }
   return Buffer.concat(chunks).toString('utf8')
 }
@@ -114,7 +125,7 @@
  * an orderly end. The reset can still be detected: the socket has no remote address any more.
  */
 function destroyIfReset (response: http.IncomingMessage): void {
-  if (response.socket.remoteAddress === undefined) response.destroy(new Error('connection reset'))
+  if (response.socket.remoteAddress === undefined) response.destroy(Object.assign(new Error('connection reset'), { code: 'ECONNRESET' }))
 }
 
 function startConnectTimer (call: HttpCall, request: http.ClientRequest): NodeJS.Timeout | undefined {
