Hold back messages that crash engines behind the routers, too

With engines that crash under one message of a prompt, 16 more of them ended later than three seconds after the fifth one.

Routers keep the silence of a target, nothing of what was sent.

Why this works: the ids of a prompt's parts are digests of its messages but the last, and the decision is the same code. Routers exchange the evidence in their heartbeats and refuse with a problem of its own that states that the request has not run and when the part is tested again.

The stand-in engine crashes under a text, and the fleet of the tests restarts it.

--- a/packages/callers/src/problem-response.ts
+++ b/packages/callers/src/problem-response.ts
@@ -27,7 +27,7 @@
     step: problem.step,
     peer: problem.peer,
     ran: problem.ran ?? kind.ran,
-    retryAfterSeconds: kind.retryAfterSeconds,
+    retryAfterSeconds: problem.retryAfterSeconds ?? kind.retryAfterSeconds,
     error: { message: kind.title, type: problem.tag, code: problem.tag }
   }
 }
--- a/packages/decisions/src/problem.ts
+++ b/packages/decisions/src/problem.ts
@@ -24,6 +24,7 @@
   budget_unreachable: { status: 503, title: 'The budget cannot be drawn on now', ran: Ran.no, retryAfterSeconds: 2 },
   not_durable: { status: 503, title: 'The request cannot be recorded safely now', ran: Ran.no, retryAfterSeconds: 2 },
   withdrawal_unknown: { status: 503, title: 'The request was not sent, but it may be billed as unknown', ran: Ran.unknown, retryAfterSeconds: 2 },
+  held_prompt_part: { status: 503, title: 'Targets end under a part of the prompt', ran: Ran.no },
   no_target: { status: 503, title: 'No target can take the request now', ran: Ran.no, retryAfterSeconds: 1 },
   overloaded: { status: 429, title: 'The queue for this priority is full', ran: Ran.no, retryAfterSeconds: 1 },
   shutting_down: { status: 503, title: 'This entry host is leaving; use another', ran: Ran.no, retryAfterSeconds: 0 },
@@ -50,6 +51,8 @@
   detail?: string
   /** Overrides the execution state of the tag where more, or less, is known about this request. */
   ran?: Ran
+  /** Delay before a retry can succeed, in seconds, where it is known better than for the tag. */
+  retryAfterSeconds?: number
 }
 
 /** Wraps a problem as an exception. */
--- a/packages/proving/src/fleet.ts
+++ b/packages/proving/src/fleet.ts
@@ -10,6 +10,9 @@
 import type * as traces from './trace-format.js'
 
 const LOOPBACK = '127.0.0.1'
+
+/** Time after the crash of an engine until it is back, in milliseconds. */
+const ENGINE_RESTART_MS = 1000
 const ROUTER_SCRIPT = url.fileURLToPath(import.meta.resolve('@acaciaweir/router-daemon').replace('index.js', 'main.js'))
 const STAND_IN_SCRIPT = url.fileURLToPath(import.meta.resolve('@acaciaweir/stand-ins').replace('index.js', 'main.js'))
 
@@ -55,6 +58,10 @@
   readonly #seed: number
   readonly #paths: FleetPaths
   readonly #cutLinks = new Set<string>()
+  /** Times at which engines crashed under the crash text. */
+  readonly engineCrashTimes: number[] = []
+  #crashText = ''
+  #isStopping = false
   #platform: processes.ManagedProcess | undefined
   #platformPort = 0
   #client: platform.platformClient.PlatformClient | undefined
@@ -126,6 +133,29 @@
     return { beforeKill: target.servedBeforeKill, sinceStart }
   }
 
+  /** Makes the engines crash under prompts with a text, and restarts them. An empty text ends this. */
+  async setCrashText (crashText: string): Promise<void> {
+    this.#crashText = crashText
+    await Promise.all(this.targets.filter((target) => target.kind === 'engine' && target.isAlive).map(async (target) => { await this.#applyCrashText(target) }))
+  }
+
+  async #applyCrashText (target: FleetTarget): Promise<void> {
+    const { process } = target
+    await this.setTarget(target, { crashText: this.#crashText })
+    void process.waitForEvent((line) => line.crashed !== undefined).then(async (line) => { await this.#restartCrashed(target, line.crashed as unknown[]) })
+  }
+
+  async #restartCrashed (target: FleetTarget, served: unknown[]): Promise<void> {
+    this.engineCrashTimes.push(performance.now())
+    target.servedBeforeKill.push(...served)
+    target.isAlive = false
+    await target.process.waitForExit()
+    await new runtime.systemClock.SystemClock().sleep(ENGINE_RESTART_MS)
+    if (this.#isStopping) return
+    await this.startTarget(target)
+    if (this.#crashText !== '') await this.#applyCrashText(target)
+  }
+
   async setTarget (target: FleetTarget, change: object): Promise<void> {
     await postJson(`http://${LOOPBACK}:${target.port}/admin/set`, change)
   }
@@ -163,6 +193,7 @@
 
   /** Kills all processes of the fleet and closes its relays and proxies. */
   async stop (): Promise<void> {
+    this.#isStopping = true
     const running = [...this.routers.map((router) => router.process), ...this.targets.map((target) => target.process), this.#platform]
     for (const process of running) process?.signal('SIGKILL')
     for (const router of this.routers) {
--- a/packages/router-daemon/src/call-context.ts
+++ b/packages/router-daemon/src/call-context.ts
@@ -17,6 +17,9 @@
   routingPolicy: decisions.routingPolicy.RoutingPolicy
   keyGate: keys.KeyGate
   runningStreams: streams.RunningStreams
+  promptParts: decisions.promptPartBoard.PromptPartBoard
+  /** Position of this router in an order of all live routers for a key, from 0. */
+  rankFor: (key: string) => number
   timeouts: admitted.AdmissionTimeouts
   resumeGraceMs: number
   currentAgreement: () => agreements.Agreement
--- a/packages/router-daemon/src/frame-relay.ts
+++ b/packages/router-daemon/src/frame-relay.ts
@@ -25,6 +25,8 @@
   envelope: callers.callerTypes.CallEnvelope
   /** The request's body. Undefined if a stream that already runs is continued. */
   body: Record<string, unknown> | undefined
+  /** Ids of the parts of the prompt that other requests may share. Empty if they are not known. */
+  sharedParts: readonly string[]
   firstOffset: number
   request: admitted.AdmittedRequest
   sink: callers.callerTypes.AnswerSink
@@ -36,6 +38,7 @@
   readonly #context: contexts.CallContext
   readonly #envelope: callers.callerTypes.CallEnvelope
   readonly #body: Record<string, unknown> | undefined
+  readonly #sharedParts: readonly string[]
   readonly #request: admitted.AdmittedRequest
   readonly #sink: callers.callerTypes.AnswerSink
   readonly #span: api.Span
@@ -48,6 +51,7 @@
     this.#context = options.context
     this.#envelope = options.envelope
     this.#body = options.body
+    this.#sharedParts = options.sharedParts
     this.#request = options.request
     this.#sink = options.sink
     this.#span = options.span
@@ -83,9 +87,13 @@
       try {
         if (attempt > 0) await this.#context.clock.sleep(INITIAL_RESUME_BACKOFF_MS * 2 ** (attempt - 1), this.#stopController.signal)
         const last = await this.#relayUntilLast(this.#openStream(attempt))
-        if (last !== undefined) return last
+        if (last !== undefined) {
+          this.#recordAnswer()
+          return last
+        }
       } catch (error) {
         failure = toTargetError(error, this.#request.target)
+        if (failure.isConnectionLost && failure.knowledge !== decisions.retryRules.DispatchKnowledge.neverSent) this.#recordLoss()
         if (this.#stopController.signal.aborted) break
         if (attempt === 0 && this.#body !== undefined && failure.knowledge === decisions.retryRules.DispatchKnowledge.neverSent) throw failure
         this.#context.logger.warn({ event: 'answer-cut', requestId: this.#request.requestId, step: failure.step, peer: 'target', target: this.#request.target, reason: failure.message })
@@ -94,6 +102,16 @@
     return await this.#cancelAtTarget(failure)
   }
 
+  #recordAnswer (): void {
+    const { clock, promptParts } = this.#context
+    promptParts.recordAnswer(this.#sharedParts, this.#envelope.caller.account, clock.now())
+  }
+
+  #recordLoss (): void {
+    const { clock, promptParts } = this.#context
+    promptParts.recordLoss(this.#sharedParts, this.#envelope.caller.account, this.#request.target, clock.now())
+  }
+
   #openStream (attempt: number): AsyncGenerator<targets.engineTypes.EngineFrame> {
     if (attempt === 0 && this.#body !== undefined) return this.#startStream(this.#body)
     return this.#requireEngine().resume(this.#request.requestId, this.#sequence.nextOffset, this.#request.incarnation.id, this.#stopController.signal)
--- a/packages/router-daemon/src/model-flow.ts
+++ b/packages/router-daemon/src/model-flow.ts
@@ -3,6 +3,7 @@
 import type * as api from '@opentelemetry/api'
 import * as runtime from '@acaciaweir/runtime'
 import * as targets from '@acaciaweir/targets'
+import * as crypto from 'node:crypto'
 import * as contexts from './call-context.js'
 import type * as admitted from './admitted-request.js'
 import * as relays from './frame-relay.js'
@@ -12,10 +13,14 @@
 
 const MAXIMUM_TARGET_ATTEMPTS = 3
 
+/** Length of the hexadecimal id of a message. */
+const PART_ID_CHARACTERS = 16
+
 /** Serves one model request: admits it, sends it to a target, relays the whole answer and bills it. Rejects with ProblemError. */
 export async function serveModel (context: contexts.CallContext, call: callers.callerTypes.ModelCall, sink: callers.callerTypes.AnswerSink): Promise<void> {
   const span = runtime.telemetry.startSpan('serve model request', runtime.telemetry.contextFromHeaders(call.headers), { model: call.model })
   try {
+    refuseHeldPart(context, call)
     const admission = createAdmissionRequest(context, call)
     const request = await contexts.admit(context, admission, span)
     await serveAdmitted(context, call, request, sink, span)
@@ -24,6 +29,19 @@
   }
 }
 
+/** Throws ProblemError if targets are known to crash under a part of the prompt. */
+function refuseHeldPart (context: contexts.CallContext, call: callers.callerTypes.ModelCall): void {
+  const held = context.promptParts.refusal(sharedParts(call), call.caller.account, context.rankFor, context.clock.now())
+  if (held === undefined) return
+  context.logger.info({ event: 'request-held-back', account: call.caller.account, ...held })
+  throw new decisions.problem.ProblemError({ tag: 'held_prompt_part', step: 'admit', peer: decisions.problem.Peer.target, detail: held.part, retryAfterSeconds: Math.ceil(held.retryAfterMs / 1000) })
+}
+
+/** Returns ids of the messages that other requests may share: all but the last, which belongs to the request. */
+function sharedParts (call: callers.callerTypes.ModelCall): string[] {
+  return call.messages.slice(0, -1).map(({ role, content }) => crypto.createHash('sha256').update(`${role}\n${content}`).digest('hex').slice(0, PART_ID_CHARACTERS))
+}
+
 function createAdmissionRequest (context: contexts.CallContext, call: callers.callerTypes.ModelCall): admitted.AdmissionRequest {
   const agreement = context.currentAgreement()
   const model = agreement.model(call.model)
@@ -56,7 +74,7 @@
   const releaseTarget = context.targetDirectory.trackRequest(target)
   const targetSpan = runtime.telemetry.startSpan('target answer', span, { target })
   try {
-    const relay = new relays.FrameRelay({ context, envelope: call, body: call.body, firstOffset: 0, request, sink, span: targetSpan })
+    const relay = new relays.FrameRelay({ context, envelope: call, body: call.body, sharedParts: sharedParts(call), firstOffset: 0, request, sink, span: targetSpan })
     await relays.relayAndBill(context, relay, request, sink)
     return true
   } catch (error) {
--- a/packages/router-daemon/src/resume-flow.ts
+++ b/packages/router-daemon/src/resume-flow.ts
@@ -94,7 +94,7 @@
   const span = runtime.telemetry.startSpan('resume stream', runtime.telemetry.contextFromHeaders({}), { target: intent.target })
   try {
     await request.recordDispatch(intent.target)
-    const relay = new relays.FrameRelay({ context, envelope: admission.envelope, body: undefined, firstOffset: call.offset, request, sink, span })
+    const relay = new relays.FrameRelay({ context, envelope: admission.envelope, body: undefined, sharedParts: [], firstOffset: call.offset, request, sink, span })
     await relays.relayAndBill(context, relay, request, sink)
   } catch (error) {
     if (!request.isClosed) context.settleLater(request, sink.frameCount)
--- a/packages/router-daemon/src/router-metrics.ts
+++ b/packages/router-daemon/src/router-metrics.ts
@@ -6,6 +6,7 @@
 export interface GaugeSource {
   openReservations: () => number
   openStreams: () => number
+  heldPromptParts: () => number
   witnessedRecords: () => number
   generation: () => number
   recoveringIncarnations: () => number
@@ -30,6 +31,7 @@
     this.#latency = new metrics.Histogram({ name: 'acaciaweir_request_seconds', help: 'Time to the end of the answer', buckets: LATENCY_BUCKETS_SECONDS, registers })
     this.#server.addGauge('acaciaweir_open_reservations', 'Requests that hold a reservation', source.openReservations)
     this.#server.addGauge('acaciaweir_open_streams', 'Streams in progress', source.openStreams)
+    this.#server.addGauge('acaciaweir_held_prompt_parts', 'Prompt parts held back because targets crash under them', source.heldPromptParts)
     this.#server.addGauge('acaciaweir_witnessed_records', 'Records that this router holds as a witness', source.witnessedRecords)
     this.#server.addGauge('acaciaweir_configuration_generation', 'Configuration generation in force', source.generation)
     this.#server.addGauge('acaciaweir_recovering_incarnations', 'Ended incarnations that this router is recovering', source.recoveringIncarnations)
--- a/packages/router-daemon/src/router.ts
+++ b/packages/router-daemon/src/router.ts
@@ -43,6 +43,7 @@
   readonly #witnessStore = new decisions.witnessStore.WitnessStore()
   readonly #ownIncarnations = new Map<string, incarnations.Incarnation>()
   readonly #runningStreams = new streams.RunningStreams()
+  readonly #promptParts: decisions.promptPartBoard.PromptPartBoard
   readonly #targetDirectory: directories.TargetDirectory
   readonly #membership: decisions.membership.Membership
   readonly #configuration: configurations.ConfigurationTask
@@ -67,6 +68,10 @@
     this.#logger = logger
     this.#clock = new runtime.systemClock.SystemClock()
     this.#platform = adapter.keyedStoreFactory.createKeyedStore(settings.platformAddress, settings.platformTimeoutMs, this.#logger)
+    this.#promptParts = new decisions.promptPartBoard.PromptPartBoard(settings.host, {
+      onHeld: (evidence) => { logger.warn({ event: 'prompt-part-held', ...evidence }) },
+      onReleased: (part) => { logger.info({ event: 'prompt-part-released', part }) }
+    })
     this.#targetDirectory = new directories.TargetDirectory(this.#clock, logger)
     this.#membership = new decisions.membership.Membership(settings)
     this.#configuration = this.#createConfiguration()
@@ -265,12 +270,13 @@
 
   #buildHeartbeat (): routers.peerMessages.HeartbeatMessage {
     const suspected = this.#membership.suspected(this.#clock.now())
-    return { ...this.#buildMember(), leavingTargets: this.#targetDirectory.leavingTargets(), suspects: suspected.map((member) => member.incarnation) }
+    return { ...this.#buildMember(), leavingTargets: this.#targetDirectory.leavingTargets(), suspects: suspected.map((member) => member.incarnation), promptParts: this.#promptParts.reports(this.#clock.now()) }
   }
 
   #applyHeartbeat (message: routers.peerMessages.HeartbeatMessage): void {
-    const { leavingTargets, suspects, ...member } = message
+    const { leavingTargets, suspects, promptParts, ...member } = message
     const now = this.#clock.now()
+    this.#promptParts.merge(promptParts, now)
     if (!this.#ownIncarnations.has(member.incarnation)) this.#membership.recordHeartbeat(member, now)
     this.#membership.recordSuspicions(suspects, now)
     this.#targetDirectory.recordReportedLeaving(leavingTargets)
@@ -347,6 +353,8 @@
       routingPolicy: routing.createPolicy(this.#settings.routingPolicy, this.#settings.seed ?? crypto.randomInt(2 ** 31)),
       keyGate,
       runningStreams: this.#runningStreams,
+      promptParts: this.#promptParts,
+      rankFor: (key) => this.#rankFor(key),
       timeouts: { ...this.#settings, clock: this.#clock },
       resumeGraceMs: this.#settings.resumeGraceMs,
       currentAgreement: () => this.#requireAgreement(),
@@ -359,6 +367,11 @@
     }
   }
 
+  #rankFor (key: string): number {
+    const hosts = [this.#settings.host, ...this.#membership.live(this.#clock.now()).map((member) => member.host)]
+    return decisions.hashing.rendezvousOrder(hosts, key, (host) => host).indexOf(this.#settings.host)
+  }
+
   #requireAgreement (): agreements.Agreement {
     const { agreement } = this.#configuration
     if (agreement !== undefined) return agreement
@@ -384,6 +397,7 @@
     return {
       openReservations: () => this.#currentIncarnation.ledger.allotment.openReservations,
       openStreams: () => this.#runningStreams.size,
+      heldPromptParts: () => this.#promptParts.heldParts,
       witnessedRecords: () => this.#witnessStore.recordCount,
       generation: () => this.#configuration.generation,
       recoveringIncarnations: () => this.#recoveryTask.recoveringCount,
--- a/packages/routers/src/peer-messages.ts
+++ b/packages/routers/src/peer-messages.ts
@@ -6,6 +6,8 @@
   leavingTargets: string[]
   /** Incarnations suspected by the sender's failure detector, because they missed its heartbeats. */
   suspects: string[]
+  /** Prompt parts under which targets have crashed, as far as the sender knows. */
+  promptParts: decisions.promptPartBoard.PromptPartReport[]
 }
 
 /** Copies of log records of one incarnation, for a witness to store. */
--- a/packages/stand-ins/src/engine-server.ts
+++ b/packages/stand-ins/src/engine-server.ts
@@ -12,9 +12,11 @@
   loadLagMs: number
   /** Time for which the engine keeps ended streams, so that they can be resumed, in milliseconds. */
   retentionMs: number
+  /** Text of a message under which the engine crashes, with its first token; empty if it never does. The last message of a prompt has no effect. */
+  crashText: string
 }
 
-export const defaultEngineOptions: EngineOptions = { slots: 32, firstTokenMs: 20, tokenIntervalMs: 5, loadLagMs: 500, retentionMs: 60_000 }
+export const defaultEngineOptions: EngineOptions = { slots: 32, firstTokenMs: 20, tokenIntervalMs: 5, loadLagMs: 500, retentionMs: 60_000, crashText: '' }
 
 /** Interval of SSE comments on open streams. */
 const HEARTBEAT_INTERVAL_MS = 500
@@ -84,6 +86,8 @@
   readonly #startedAt = performance.now()
   #running = 0
   leaving = false
+  /** Called in place of the first token of a request under which the engine crashes. */
+  onCrash: () => void = () => {}
   #heartbeatTimer: NodeJS.Timeout | undefined
 
   constructor (options: Partial<EngineOptions> = {}) {
@@ -212,8 +216,17 @@
     return wasCached
   }
 
+  #hasCrashText (stream: EngineStream): boolean {
+    const { crashText } = this.options
+    return crashText !== '' && stream.body.messages.slice(0, -1).some((message) => message.content.includes(crashText))
+  }
+
   #produceToken (stream: EngineStream): void {
     if (stream.hasEnded) return
+    if (this.#hasCrashText(stream)) {
+      this.onCrash()
+      return
+    }
     stream.producedTokens += 1
     const finished = stream.producedTokens === stream.answerTokens
     if (stream.served !== undefined) Object.assign(stream.served, { completionTokens: stream.producedTokens, finished })
--- a/packages/stand-ins/src/main.ts
+++ b/packages/stand-ins/src/main.ts
@@ -20,7 +20,11 @@
   return { listen: async (port, address) => await store.listenOn(port, address) }
 })
 addCommand('service', () => new service.ServiceServer())
-addCommand('engine', (options) => new engine.EngineServer(options))
+addCommand('engine', (options) => {
+  const server = new engine.EngineServer(options)
+  server.onCrash = () => { process.stdout.write(JSON.stringify({ crashed: server.served }) + '\n', () => { process.exit(1) }) }
+  return server
+})
   .option('--slots <count>', 'requests served concurrently', Number, engine.defaultEngineOptions.slots)
   .option('--first-token-ms <milliseconds>', 'time to the first token', Number, engine.defaultEngineOptions.firstTokenMs)
   .option('--token-interval-ms <milliseconds>', 'time between tokens', Number, engine.defaultEngineOptions.tokenIntervalMs)
--- a/packages/targets/src/engine-client.ts
+++ b/packages/targets/src/engine-client.ts
@@ -121,7 +121,8 @@
 
   #toTargetError (step: string, error: Error, hasReceivedFrame: boolean): errors.TargetError {
     if (error instanceof errors.TargetError) return error
-    return new errors.TargetError(this.target, step, error.message, knowledgeFromError(error, hasReceivedFrame))
+    const isConnectionLost = error instanceof runtime.httpCall.HttpCallError ? error.isConnectionLost : runtime.httpCall.isConnectionLost(error)
+    return new errors.TargetError(this.target, step, error.message, knowledgeFromError(error, hasReceivedFrame), isConnectionLost)
   }
 }
 
--- a/packages/targets/src/target-error.ts
+++ b/packages/targets/src/target-error.ts
@@ -6,11 +6,14 @@
   readonly target: string
   readonly peer = decisions.problem.Peer.target
   readonly knowledge: decisions.retryRules.DispatchKnowledge
+  /** The target or the network ended the connection. */
+  readonly isConnectionLost: boolean
 
-  constructor (target: string, step: string, reason: string, knowledge: decisions.retryRules.DispatchKnowledge) {
+  constructor (target: string, step: string, reason: string, knowledge: decisions.retryRules.DispatchKnowledge, isConnectionLost = false) {
     super(`request to target ${target} failed at step "${step}": ${reason}`)
     this.target = target
     this.step = step
     this.knowledge = knowledge
+    this.isConnectionLost = isConnectionLost
   }
 }
