Add crashing prompt parts to the faults of the soak

Requests with a new part crash targets for six seconds, before the head of the answer, after it or after some events; no more than three of them may reach targets later than three seconds after the fifth one.

--- a/packages/proving/src/soak-faults.ts
+++ b/packages/proving/src/soak-faults.ts
@@ -8,6 +8,10 @@
 const SHORTEST_FAULT_MS = 200
 const LONGEST_FAULT_MS = 2500
 
+/** Time for which requests with a crashing prompt part are sent, and the time between two of them, in milliseconds. */
+const CRASHING_PART_MS = 6000
+const CRASHING_REQUEST_INTERVAL_MS = 300
+
 /** Injects random faults from a seeded source into a fleet. Faults may overlap. */
 export class SoakFaults {
   readonly fleet: fleets.SoakFleet
@@ -21,6 +25,7 @@
   /** Routes that the newest configuration has in addition to the default ones. */
   addedRoutes: object[] = []
   #addedRouteCount = 0
+  #crashingPartCount = 0
 
   constructor (fleet: fleets.SoakFleet, random: decisions.random.RandomSource, onUnexpectedExit: (host: fleets.SoakHost, code: number | undefined) => void) {
     this.fleet = fleet
@@ -62,6 +67,28 @@
     return this.#random.integer(bound)
   }
 
+  /** Makes the targets crash under a new prompt part, and sends requests with it to random hosts. */
+  async sendCrashingPart (): Promise<void> {
+    const { platform, hosts } = this.fleet
+    const part = `bad${this.#crashingPartCount}`
+    this.#crashingPartCount += 1
+    const moments = Object.values(standIns.targetServer.CrashMoment)
+    platform.crashingParts.set(part, moments[this.#random.integer(moments.length)])
+    const end = performance.now() + CRASHING_PART_MS
+    for (let count = 0; performance.now() < end; count++) {
+      const headers = standIns.callerClient.callerHeaders({
+        host: standIns.platformStandIn.ROUTE_HOST,
+        attemptId: `${part}-${count}`,
+        apiKey: platform.accounts[0].apiKey,
+        remainingMs: LONGEST_FAULT_MS,
+        model: { promptTokens: 30, outputTokens: 10, session: part }
+      })
+      void standIns.callerClient.send(hosts[this.#random.integer(hosts.length)].callerAddress, `${this.#random.integer(2) === 0 ? '/plan/' : '/reply/'}${part}`, headers, '', LONGEST_FAULT_MS)
+      await fleets.sleep(CRASHING_REQUEST_INTERVAL_MS)
+    }
+    platform.crashingParts.delete(part)
+  }
+
   restart (host: fleets.SoakHost): void {
     host.start(this.#onUnexpectedExit)
   }
@@ -159,6 +186,7 @@
     })
   },
   hostReloaded: async (soak) => { await withRandomHost(soak, async (host) => { if (await host.isReady() && !host.isDisturbed) host.reload() }) },
+  partCrashesTargets: async (soak) => { await soak.sendCrashingPart() },
   routeAdded: async (soak) => { soak.addRoute() },
   budgetRaised: async (soak) => {
     const { platform } = soak.fleet
--- a/packages/proving/src/soak-judge.ts
+++ b/packages/proving/src/soak-judge.ts
@@ -11,6 +11,13 @@
 /** Statuses which state that a request has not run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503])
 
+/** Targets that may end under a prompt part until the gateways must hold it back, and the time that they have for it, in milliseconds. */
+const KNOWN_AFTER_CRASHES = 5
+const HOLD_BACK_TIME_MS = 3000
+
+/** Requests with the part that may still reach targets after that. */
+const MAXIMUM_LATE_REQUESTS = 3
+
 /** Checks a run by what callers and targets observed, and returns the broken guarantees. */
 export function findBreaches (requests: readonly callers.SoakRequest[], platform: standIns.platformStandIn.PlatformStandIn): Breach[] {
   const runs = new Map<string, standIns.targetServer.TargetRun[]>()
@@ -20,6 +27,7 @@
     const served = platform.servedTokens(account.name)
     if (served > account.prepaidTokens) breaches.push({ promise: 'spending within prepaid budget', detail: `${account.name} was served ${served} tokens, ${account.prepaidTokens} are prepaid` })
   }
+  breaches.push(...findCrashingPartBreaches(platform))
   for (const request of requests) breaches.push(...findRequestBreaches(request, runs.get(request.attemptId) ?? []))
   for (const run of platform.runs()) {
     if (run.wasKeyForwarded) breaches.push({ promise: 'API keys are not forwarded', detail: run.attemptId })
@@ -39,6 +47,20 @@
   return breaches
 }
 
+/** A crashing part is the first one of its requests, and begins with `bad`. */
+function findCrashingPartBreaches (platform: standIns.platformStandIn.PlatformStandIn): Breach[] {
+  const times = new Map<string, number[]>()
+  for (const { parts, startedAt } of platform.runs()) {
+    if (parts[0]?.startsWith('bad')) times.set(parts[0], [...times.get(parts[0]) ?? [], startedAt].sort((left, right) => left - right))
+  }
+  const breaches: Breach[] = []
+  for (const [part, startedAt] of times) {
+    const late = startedAt.filter((at) => at > (startedAt[KNOWN_AFTER_CRASHES - 1] ?? Infinity) + HOLD_BACK_TIME_MS)
+    if (late.length > MAXIMUM_LATE_REQUESTS) breaches.push({ promise: 'crashing prompt parts are held back', detail: `${part} was sent ${late.length} times after the bound, ${startedAt.length} in all` })
+  }
+  return breaches
+}
+
 /** True if the body is the whole answer of a stand-in target to this request and to no other. */
 function isWholeOwnAnswer (request: callers.SoakRequest): boolean {
   const { body } = request.answer
