--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -29,6 +29,8 @@
   heldPart?: decisions.promptPartBoard.HeldPart
   /** Inputs of the budget decision, for the log. Set only where the budget refused the call. */
   budget?: Record<string, unknown>
+  /** Limit that the target named in the answer to the send in progress, in requests a second. */
+  limitPerSecond?: number
   /** Events of the target's stream that were forwarded to the caller. */
   events: number
   /** Id of the last event that reached the caller, after which a target resumes the stream. Starts at the id that the caller sent. */
@@ -60,6 +62,8 @@
   result: string
   /** Cause of the failure. */
   reason?: string
+  /** Requests a second that the target named in its answer as the most that it takes. */
+  limitPerSecond?: number
   milliseconds: number
 }
 
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -179,12 +179,13 @@
     }
     const span = runtime.telemetry.startSpan('target', call.span, { target: target.id })
     board.recordStart(target.id, unreadTokens, call.request.promptParts.map((part) => part.id), startedAt)
+    call.limitPerSecond = undefined
     const outcome = await this.#sendAndReceive(call, placement, onPromptRead, span)
     onPromptRead()
     board.recordEnd(target.id, targetResultOf(call, outcome), clock.now())
     this.#recordPromptParts(call, target.id, outcome)
     span.end()
-    call.sends.push({ target: target.id, copyFrom: placement.copyFrom?.entry.id, result: resultForLog(outcome), reason: 'reason' in outcome ? outcome.reason : undefined, milliseconds: Math.round(clock.now() - startedAt) })
+    call.sends.push({ target: target.id, copyFrom: placement.copyFrom?.entry.id, result: resultForLog(outcome), reason: 'reason' in outcome ? outcome.reason : undefined, limitPerSecond: call.limitPerSecond, milliseconds: Math.round(clock.now() - startedAt) })
     return outcome
   }
 
@@ -251,6 +252,7 @@
 
   async #receiveAnswer (call: calls.Call, response: http.IncomingMessage, onPromptRead: () => void, sendController: AbortController): Promise<SendOutcome> {
     const answer = adapter.targetRequest.decodeTargetResponse(response, call.request.attemptId)
+    call.limitPerSecond = answer.limitPerSecond
     if (!answer.belongsToAttempt) {
       sendController.abort()
       response.destroy()
