--- a/packages/stand-ins/src/target-server.ts
+++ b/packages/stand-ins/src/target-server.ts
@@ -115,8 +115,12 @@
   onCrash: () => void = () => {}
   readonly #sockets = new Set<net.Socket>()
   #hasCrashed = false
+  /** Requests a second that the target names in its answers as the most that it takes. It runs more all the same. */
+  limitPerSecond: number | undefined
   /** Requests received, also those that it rejected. */
   receivedRequests = 0
+  /** Times at which these were received. */
+  readonly arrivals: number[] = []
   /** Connections on which an endless answer is being sent. */
   endlessAnswers = 0
 
@@ -160,6 +164,8 @@
   async #handle (message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const body = await runtime.httpCall.readBody(message)
     this.receivedRequests += 1
+    this.arrivals.push(performance.now())
+    if (this.limitPerSecond !== undefined) response.setHeader('server-limit', String(this.limitPerSecond))
     const attemptId = String(message.headers['attempt-id'])
     if (message.headers['expect-replica'] !== this.options.id) {
       response.writeHead(MISDIRECTED_REQUEST, { 'attempt-id': attemptId, 'not-executed': '1' }).end()
