Keep all gateways together within the limits that targets name

What callers saw: targets that had named a limit of 1.5 requests a second got 16 to 20 in four seconds, as many as the others did.

Cause: the header passed through to the callers, and nothing that chooses a target knew of it. Class: what a target says of itself in an answer is passed on and not acted on; and a limit for all gateways together needs one place that counts.

Why this works: the first answer with a limit tells its gateway, and a heartbeat the others. One gateway keeps the limit of each target, chosen by rendezvous hashing among the live ones, with a token bucket that starts empty; each send to the target, first or repeated, asks it for a permit. A target without a permit is left out for as long as the denial says, and the others take the work. Where all are at their limits, a request waits by rank for a second at most, or is refused with the time that a permit will take. A gateway that hears only a part of the others grants only that part. A limit ends with an answer to a later request that names none, or with the run of the target.

--- a/packages/decisions/src/agreement-types.ts
+++ b/packages/decisions/src/agreement-types.ts
@@ -85,4 +85,11 @@
   availabilityZone: string
   slots: number
   leaving: boolean
+  /** Wall-clock time at which the target started, in milliseconds since 1970; undefined if it does not say. */
+  startedAt?: number
+}
+
+/** Returns a name of one run of a target. A target that starts again under its id knows nothing of before. */
+export function targetLifetime (entry: TargetEntry): string {
+  return entry.startedAt === undefined ? entry.id : `${entry.id}@${entry.startedAt}`
 }
--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -48,6 +48,9 @@
   return Math.round(promptTokens * (1 + promptTokens / ATTENTION_PARITY_TOKENS))
 }
 
+/** Returns true if a request may go to a target at present. */
+export type TargetFilter = (target: boards.TargetState) => boolean
+
 /** The target chosen for a request and, optionally, another target from whose cache it copies shared prompt parts. */
 export interface Placement {
   target: boards.TargetState
@@ -56,19 +59,21 @@
 
 /**
  * Chooses the target with the least expected delay at `now` (monotonic milliseconds), or undefined if the service has no
- * target left to try. Targets in backoff are used only if all are.
+ * target left to try. Targets in backoff are used only if all are. A target that the filter excludes is not chosen, but may be copied from.
  *
  * Balances load against reuse of cached prompts: a prefix stays at the target that read it while the queue there is
  * short, and is otherwise copied to another target rather than read again. Rendezvous hashing gives each prefix an
  * affinity target on which all routers agree without communicating.
  */
-export function chooseTarget (board: boards.TargetBoard, request: PlacementRequest, tried: ReadonlySet<string>, now: number): Placement | undefined {
+export function chooseTarget (board: boards.TargetBoard, request: PlacementRequest, tried: ReadonlySet<string>, now: number, isPermitted: TargetFilter = () => true): Placement | undefined {
   const untried = board.assignableTargets(request.service).filter((target) => !tried.has(target.entry.id))
   const healthy = untried.filter((target) => target.backoffUntil <= now)
-  const candidates = healthy.length > 0 ? healthy : untried
-  const affinityId = affinityTargetId(candidates, request)
-  const cachedTokens = new Map(candidates.map((target) => [target, estimateCachedTokens(board, target.entry.id, request, target.entry.id === affinityId, now)]))
-  const copySource = maximumBy(candidates, (target) => cachedTokens.get(target) ?? 0)
+  const sources = healthy.length > 0 ? healthy : untried
+  const permitted = sources.filter(isPermitted)
+  const candidates = permitted.length > 0 || healthy.length === 0 ? permitted : untried.filter(isPermitted)
+  const affinityId = affinityTargetId(sources, request)
+  const cachedTokens = new Map([...sources, ...candidates].map((target) => [target, estimateCachedTokens(board, target.entry.id, request, target.entry.id === affinityId, now)]))
+  const copySource = maximumBy(sources, (target) => cachedTokens.get(target) ?? 0)
   const copyableTokens = copySource === undefined ? 0 : estimateCopyableTokens(board, copySource, request, now)
   const target = maximumBy(candidates, (candidate) => -estimateDelay(candidate, request, cachedTokens.get(candidate) ?? 0, copyableTokens))
   if (target === undefined) return undefined
--- a/packages/decisions/src/target-board.ts
+++ b/packages/decisions/src/target-board.ts
@@ -65,10 +65,10 @@
     for (const entry of entries) this.upsertEntry(entry)
   }
 
-  /** Adds a target or updates its entry. A target with a new address starts with empty state; a leaving one stays leaving. */
+  /** Adds a target or updates its entry. A target with a new address or a later start begins with empty state; a leaving one stays leaving. */
   upsertEntry (entry: types.TargetEntry): void {
     const known = this.#targets.get(entry.id)
-    if (known !== undefined && known.entry.address === entry.address) {
+    if (known !== undefined && known.entry.address === entry.address && known.entry.startedAt === entry.startedAt) {
       known.entry = { ...entry, leaving: entry.leaving || known.entry.leaving }
       return
     }
--- a/packages/decisions/test/placement.test.ts
+++ b/packages/decisions/test/placement.test.ts
@@ -50,6 +50,18 @@
     expect(placement.chooseTarget(board, request('session'), new Set(), 10)?.copyFrom).to.equal(undefined)
   })
 
+  it('does not choose a target that takes no requests now, but copies from it', () => {
+    const board = boardOf(3)
+    const affinityId = chosenId(board, request('session'))
+    const result = placement.chooseTarget(board, request('session'), new Set(), 0, (target) => target.entry.id !== affinityId)
+    expect(result?.target.entry.id).to.not.equal(affinityId)
+    expect(result?.copyFrom?.entry.id).to.equal(affinityId)
+  })
+
+  it('chooses no target if none takes requests now', () => {
+    expect(placement.chooseTarget(boardOf(2), request('session'), new Set(), 0, () => false)).to.equal(undefined)
+  })
+
   it('counts a cached part only if all parts before it are cached', () => {
     const board = boardOf(2)
     board.recordStart('t0', 0, ['session'], 0)
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -280,6 +280,7 @@
       outputTokens: call.request.maximumOutputTokens,
       promptParts: sharedPartsForLog(call),
       heldPart: call.heldPart,
+      permitWaitMs: call.permitWaitMs === undefined ? undefined : Math.round(call.permitWaitMs),
       budget: call.budget,
       waitsMs: call.request.remainingMs,
       ...arrivalForLog(call.arrival),
--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -25,6 +25,7 @@
   targets: targetWatches.TargetWatch
   tokens: tokenAllocators.TokenAllocator
   promptParts: decisions.promptPartBoard.PromptPartBoard
+  targetLimits: decisions.targetLimits.TargetLimits
   /** Returns this gateway's own entry, the sender of its heartbeats. */
   member: () => routers.gatewayMessages.GatewayMember
   /** Fetches a newer agreement and newer targets from a gateway. */
@@ -66,7 +67,7 @@
 
   /** Builds a heartbeat. It carries the token counts only in a small fleet, where every gateway exchanges tokens with all others. */
   buildHeartbeat (): Omit<routers.gatewayMessages.GatewayHeartbeat, 'sequence' | 'asksForAnswer'> {
-    const { board, clock, configuration, peers, promptParts, targets, tokens, view } = this.#options
+    const { board, clock, configuration, peers, promptParts, targetLimits, targets, tokens, view } = this.#options
     const sharesTokenCounts = view.gatewayCount() <= decisions.fleetSize.MAXIMUM_SMALL_FLEET_SIZE
     return {
       sender: this.#options.member(),
@@ -77,6 +78,7 @@
       freeTokens: sharesTokenCounts ? tokens.freeTokens() : {},
       spending: sharesTokenCounts ? tokens.spending() : {},
       promptParts: promptParts.reports(clock.now()),
+      targetLimits: targetLimits.reports(clock.now()),
       leavingTargets: board.entries().filter((entry) => entry.leaving).map((entry) => entry.id)
     }
   }
@@ -86,9 +88,10 @@
    * none yet or doesn't watch the store itself.
    */
   applyHeartbeat (heartbeat: routers.gatewayMessages.GatewayHeartbeat): void {
-    const { board, clock, configuration, peers, promptParts, targets, view } = this.#options
+    const { board, clock, configuration, peers, promptParts, targetLimits, targets, view } = this.#options
     const now = clock.now()
     promptParts.merge(heartbeat.promptParts, now)
+    targetLimits.merge(heartbeat.targetLimits, now)
     for (const id of heartbeat.leavingTargets) board.markLeaving(id)
     if (now - this.#workSummedAt >= WORK_SUM_INTERVAL_MS) {
       this.#workSummedAt = now
--- a/packages/gateway/src/fleet-view.ts
+++ b/packages/gateway/src/fleet-view.ts
@@ -40,6 +40,19 @@
     return decisions.hashing.rendezvousOrder(names, key, (name) => name).indexOf(this.#self.name)
   }
 
+  /** Returns the peer address of the gateway that keeps a target's limit for all; undefined if that is this gateway. */
+  keeperOf (target: string): string | undefined {
+    const others = this.#live().map(({ sender }) => sender).filter((sender) => !sender.leaving)
+    const members = [{ host: this.#self.name, peerAddress: undefined }, ...others]
+    return decisions.hashing.rendezvousOrder(members, target, (member) => member.host)[0].peerAddress
+  }
+
+  /** Returns the live share of all gateways that this one has heard lately, itself included. */
+  reachableShare (): number {
+    const live = this.#live().filter(({ sender }) => !sender.leaving).length
+    return (1 + live) / (1 + Math.max(live, this.#peers.knownGateways()))
+  }
+
   /** Returns true if this gateway has to watch the store itself instead of fetching changes from other gateways. */
   hasWatchDuty (): boolean {
     const others = this.#live().map(({ sender }) => ({ name: sender.host, availabilityZone: sender.availabilityZone, storeSilenceMs: sender.storeSilenceMs }))
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import * as flows from './request-flow.js'
 import * as targetWatches from './target-watch.js'
 import * as targetConnections from './target-connections.js'
+import * as targetPermits from './target-permits.js'
 import * as tokenPageClients from './token-page-client.js'
 import * as tokenAllocators from './token-allocator.js'
 
@@ -67,6 +68,8 @@
   readonly #store: platform.objectStore.ObjectStore
   readonly #targetBoard = new decisions.targetBoard.TargetBoard()
   readonly #promptParts: decisions.promptPartBoard.PromptPartBoard
+  readonly #targetLimits: decisions.targetLimits.TargetLimits
+  readonly #targetPermits: targetPermits.TargetPermits
   readonly #tokenPool = new decisions.tokenPool.TokenPool()
   readonly #retryAllowance: decisions.retryAllowance.RetryAllowance
   readonly #targetConnections = new targetConnections.TargetConnections()
@@ -96,8 +99,16 @@
       onHeld: (evidence) => { this.#logger.warn({ event: 'prompt-part-held', ...evidence }) },
       onReleased: (part) => { this.#logger.info({ event: 'prompt-part-released', part }) }
     })
+    this.#targetLimits = new decisions.targetLimits.TargetLimits((target, perSecond) => { this.#logger.info({ event: perSecond === undefined ? 'target-limit-ended' : 'target-limit', target, perSecond }) })
     this.#peerTable = new peerTables.PeerTable(options.settings.peerListen)
     this.#fleetView = new fleetViews.FleetView({ name: options.settings.host, availabilityZone: options.settings.availabilityZone, processorShare: options.settings.processorShare }, this.#peerTable, this.#clock)
+    this.#targetPermits = new targetPermits.TargetPermits({
+      clock: this.#clock,
+      limits: this.#targetLimits,
+      view: this.#fleetView,
+      requestPermit: async (peerAddress, request) => await this.#peerTask.requestPermit(peerAddress, request),
+      onOutcome: (outcome) => { this.#metrics.countPermit(outcome) }
+    })
     this.#retryAllowance = new decisions.retryAllowance.RetryAllowance(options.settings.retryBudget)
     this.#loadMeter = new loads.LoadMeter(this.#clock, options.settings.processorShare)
     const pauseMs = (): number => this.#fleetView.hasWatchDuty() ? 0 : WATCH_DUTY_CHECK_INTERVAL_MS
@@ -269,6 +280,7 @@
       targets: this.#targetWatch,
       tokens: this.#tokenTask,
       promptParts: this.#promptParts,
+      targetLimits: this.#targetLimits,
       member: () => this.#member(),
       fetchState: (peerAddress) => { void this.#peerTask.fetchState(peerAddress) }
     })
@@ -285,6 +297,7 @@
       newerState: (known) => this.#fleetExchange.newerState(known),
       knownVersions: () => this.#fleetExchange.knownVersions(),
       handleTransfer: async (request) => await this.#tokenTask.handleTransfer(request),
+      answerPermit: (request) => this.#targetPermits.answer(request),
       addReturnedTokens: (account, tokens) => { this.#tokenPool.add(account, tokens) },
       onHeartbeat: (heartbeat) => { this.#fleetExchange.applyHeartbeat(heartbeat) },
       onState: (state) => { this.#fleetExchange.applyState(state) }
@@ -299,6 +312,8 @@
       tokens: this.#tokenTask,
       retryAllowance: this.#retryAllowance,
       promptParts: this.#promptParts,
+      targetLimits: this.#targetLimits,
+      permits: this.#targetPermits,
       rankFor: (key) => this.#fleetView.rankFor(key),
       announce: () => { void this.#peerTask.announceSoon() },
       availabilityZone: this.#settings.availabilityZone,
@@ -325,6 +340,7 @@
       agreementVersion: () => this.#configurationWatch.version,
       livePeers: () => this.#peerTable.liveHeartbeats(this.#clock.now()).length,
       heldPromptParts: () => this.#promptParts.heldParts,
+      limitedTargets: () => this.#targetLimits.size,
       freeTokens: () => this.#tokenTask.freeTokens(),
       storeCalls: () => this.#store.callCounts,
       droppedLogLines: this.#options.log.droppedLines
--- a/packages/gateway/src/peer-table.ts
+++ b/packages/gateway/src/peer-table.ts
@@ -116,6 +116,11 @@
     return live
   }
 
+  /** Returns the number of gateways that are live or have fallen silent lately, but did not leave. */
+  knownGateways (): number {
+    return [...this.#peers.values()].filter((peer) => peer.heartbeat !== undefined && !peer.heartbeat.sender.leaving).length
+  }
+
   /** Returns the live gateways that accept callers. */
   servingGateways (now: number): Member[] {
     return this.liveHeartbeats(now).map((heartbeat) => heartbeat.sender).filter((member) => member.ready && !member.leaving)
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -26,6 +26,9 @@
 /** Calls for one token transfer. The other gateway gives the same tokens to each. */
 const MAXIMUM_TRANSFER_CALLS = 2
 
+/** Timeout for asking for a permit, in milliseconds. The request can go to another target meanwhile. */
+const PERMIT_TIMEOUT_MS = 150
+
 /** Timeout for fetching another gateway's agreement and targets, in milliseconds. */
 const STATE_TIMEOUT_MS = 3000
 
@@ -56,6 +59,8 @@
   knownVersions: () => routers.gatewayMessages.StateRequest
   /** Takes tokens out of the pool for another gateway. */
   handleTransfer: (request: routers.gatewayMessages.TokenTransferRequest) => Promise<routers.gatewayMessages.TokenTransferReply>
+  /** Answers a gateway that asks for a permit. */
+  answerPermit: (request: routers.gatewayMessages.PermitRequest) => routers.gatewayMessages.PermitReply
   /** Adds tokens that another gateway returned to the pool. */
   addReturnedTokens: (account: string, tokens: number) => void
   /** Called with each heartbeat received. */
@@ -178,8 +183,14 @@
     }
   }
 
+  /** Asks another gateway for a permit. Rejects if it does not answer in time. */
+  async requestPermit (peerAddress: string, request: routers.gatewayMessages.PermitRequest): Promise<routers.gatewayMessages.PermitReply> {
+    return await this.#client.call(peerAddress, 'RequestPermit', request, PERMIT_TIMEOUT_MS)
+  }
+
   override async answer<Name extends keyof Calls> (name: Name, request: Calls[Name]['request']): Promise<Calls[Name]['reply']> {
     if (name === 'ReturnTokens') return this.#acceptReturn(request as Calls['ReturnTokens']['request'])
+    if (name === 'RequestPermit') return this.#options.answerPermit(request as Calls['RequestPermit']['request'])
     if (name === 'TransferTokens') return await this.#answerTransfer(request as Calls['TransferTokens']['request'])
     return this.#options.newerState(request as Calls['FetchState']['request'])
   }
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -8,6 +8,7 @@
 import type * as calls from './call.js'
 import * as relays from './stream-relay.js'
 import * as connections from './target-connections.js'
+import type * as targetPermits from './target-permits.js'
 import * as tokenAllocators from './token-allocator.js'
 
 const { Repetition } = decisions.agreementTypes
@@ -20,6 +21,9 @@
 /** Retry-after delay where the prepaid budget is out of reach, in milliseconds. */
 const BUDGET_RETRY_AFTER_MS = 1000
 
+/** Least time between two choices of a target for a request that waits for a permit, in milliseconds. */
+const MINIMUM_PERMIT_PAUSE_MS = 10
+
 /** Share of the remaining time that one send of a repeatable request may take while another target may still be tried. */
 const MAXIMUM_SEND_SHARE = 0.5
 
@@ -36,9 +40,11 @@
   tokens: tokenAllocators.TokenAllocator
   retryAllowance: decisions.retryAllowance.RetryAllowance
   promptParts: decisions.promptPartBoard.PromptPartBoard
+  targetLimits: decisions.targetLimits.TargetLimits
+  permits: targetPermits.TargetPermits
   /** Position of this gateway in an order of all live gateways for a key, from 0. */
   rankFor: (key: string) => number
-  /** Sends a heartbeat with new evidence about prompt parts to the other gateways. */
+  /** Sends a heartbeat with new evidence about prompt parts or limits to the other gateways. */
   announce: () => void
   availabilityZone: string
   findService: (name: string) => decisions.agreementTypes.Service | undefined
@@ -129,7 +135,7 @@
     let lastFailure: SendOutcome | undefined
     while (call.abortReason === undefined) {
       if (triedTargets.size > 0 && this.#isHeldBack(call)) break
-      const placement = this.#chooseTarget(call, triedTargets)
+      const placement = await this.#placeWithPermit(call, triedTargets)
       if (placement === undefined || (triedTargets.size > 0 && !this.#consumeRetry(call))) break
       triedTargets.add(placement.target.entry.id)
       const outcome = await this.#send(call, placement)
@@ -141,13 +147,44 @@
     return this.#endUnanswered(call, lastFailure)
   }
 
+  /**
+   * Chooses a target, with a permit where it names a limit. Where all targets are at their limits, waits for a permit if that does not take long;
+   * otherwise returns undefined, and sets the time that it would take.
+   */
+  async #placeWithPermit (call: calls.Call, triedTargets: ReadonlySet<string>): Promise<decisions.placement.Placement | undefined> {
+    const { clock, permits } = this.#options
+    const waitUntil = clock.now() + permits.maximumWaitMs(call.rank)
+    while (call.abortReason === undefined) {
+      const placement = this.#chooseTarget(call, triedTargets)
+      if (placement !== undefined) {
+        call.permitWaitMs = undefined
+        if (await permits.acquire(placement.target.entry)) return placement
+        continue
+      }
+      call.permitWaitMs = permits.expectedWaitMs(this.#untriedTargets(call, triedTargets))
+      if (call.permitWaitMs === undefined || clock.now() + call.permitWaitMs > waitUntil) return undefined
+      await this.#waitForPermit(call, call.permitWaitMs)
+    }
+    return undefined
+  }
+
+  async #waitForPermit (call: calls.Call, milliseconds: number): Promise<void> {
+    const stopWaiting = this.#options.permits.startWaiting(call.service, call.rank)
+    await this.#options.clock.sleep(Math.max(MINIMUM_PERMIT_PAUSE_MS, milliseconds), call.abortController.signal)
+    stopWaiting()
+  }
+
+  #untriedTargets (call: calls.Call, triedTargets: ReadonlySet<string>): decisions.agreementTypes.TargetEntry[] {
+    return this.#options.board.assignableTargets(call.service).map((target) => target.entry).filter((entry) => !triedTargets.has(entry.id))
+  }
+
   #chooseTarget (call: calls.Call, triedTargets: ReadonlySet<string>): decisions.placement.Placement | undefined {
     return decisions.placement.chooseTarget(this.#options.board, {
       service: call.service,
       sharedParts: call.request.promptParts.slice(0, -1),
       promptTokens: call.request.promptTokens ?? 0,
       availabilityZone: this.#options.availabilityZone
-    }, triedTargets, this.#options.clock.now())
+    }, triedTargets, this.#options.clock.now(), (target) => this.#options.permits.mayAsk(target.entry, call.rank))
   }
 
   /** Counts a retry against this gateway's part of the fleet's retry budget. Returns false where that is used up. */
@@ -202,11 +239,12 @@
 
   async #sendAndReceive (call: calls.Call, placement: decisions.placement.Placement, onPromptRead: () => void, span: Parameters<typeof runtime.telemetry.headersFromSpan>[0]): Promise<SendOutcome> {
     const sendController = new AbortController()
+    const sentAt = this.#options.clock.now()
     const abortSend = (): void => { sendController.abort() }
     call.abortController.signal.addEventListener('abort', abortSend)
     try {
       const response = await this.#options.connections.send(this.#createTargetCall(call, placement, sendController.signal, span), this.#connectionShare(call.service))
-      return await this.#receiveAnswer(call, response, onPromptRead, sendController)
+      return await this.#receiveAnswer(call, placement.target.entry, sentAt, response, onPromptRead, sendController)
     } catch (error) {
       const { knowledge, message, isConnectionLost } = toTargetError(error)
       return knowledge === DispatchKnowledge.neverSent ? { kind: 'not-run', reason: message } : { kind: 'lost', reason: message, isConnectionLost }
@@ -250,9 +288,9 @@
     return (this.#options.findService(service)?.maximumConnections ?? Infinity) / this.#options.gatewayCount()
   }
 
-  async #receiveAnswer (call: calls.Call, response: http.IncomingMessage, onPromptRead: () => void, sendController: AbortController): Promise<SendOutcome> {
+  async #receiveAnswer (call: calls.Call, target: decisions.agreementTypes.TargetEntry, sentAt: number, response: http.IncomingMessage, onPromptRead: () => void, sendController: AbortController): Promise<SendOutcome> {
     const answer = adapter.targetRequest.decodeTargetResponse(response, call.request.attemptId)
-    call.limitPerSecond = answer.limitPerSecond
+    this.#recordLimit(call, target, answer, sentAt)
     if (!answer.belongsToAttempt) {
       sendController.abort()
       response.destroy()
@@ -270,6 +308,13 @@
     return await new answerRelays.AnswerRelay(call, answer).run(response)
   }
 
+  #recordLimit (call: calls.Call, target: decisions.agreementTypes.TargetEntry, answer: adapter.targetRequest.TargetResponse, sentAt: number): void {
+    if (!answer.belongsToAttempt) return
+    const { announce, clock, targetLimits } = this.#options
+    call.limitPerSecond = answer.limitPerSecond
+    if (targetLimits.recordAnswer(decisions.agreementTypes.targetLifetime(target), answer.limitPerSecond, sentAt, clock.now())) announce()
+  }
+
   /** Ends a call that no target answered. Returns the outcome for the log and the metrics. */
   #endUnanswered (call: calls.Call, failure: SendOutcome | undefined): string {
     if (call.abortReason === 'caller') return 'caller-left'
@@ -294,8 +339,8 @@
       .otherwise(() => {
         if (call.heldPart !== undefined) return this.#refuseHeldPart(call)
         const mayHaveRun = call.sends.some((send) => send.result !== 'not-run')
-        this.#refuse(call, mayHaveRun ? 502 : 503, 'no target can take the request now', mayHaveRun ? undefined : NO_TARGET_RETRY_AFTER_MS)
-        return mayHaveRun ? 'answer-lost' : 'no-target'
+        this.#refuse(call, mayHaveRun ? 502 : 503, 'no target can take the request now', mayHaveRun ? undefined : call.permitWaitMs ?? NO_TARGET_RETRY_AFTER_MS)
+        return mayHaveRun ? 'answer-lost' : call.permitWaitMs === undefined ? 'no-target' : 'at-limit'
       })
   }
 
--- a/packages/routers/src/gateway-messages.ts
+++ b/packages/routers/src/gateway-messages.ts
@@ -49,6 +49,8 @@
   leavingTargets: string[]
   /** Prompt parts under which targets have crashed, as far as the sender knows. */
   promptParts: decisions.promptPartBoard.PromptPartReport[]
+  /** Limits that targets have named, as far as the sender knows. */
+  targetLimits: decisions.targetLimits.TargetLimitReport[]
   /** Increases with each heartbeat of the incarnation, because datagrams may arrive out of order. */
   sequence: number
   /** Requests a heartbeat in return. */
@@ -79,6 +81,16 @@
   tokens: number
 }
 
+/** Asks the gateway that keeps a target's limit for one request to the target. */
+export interface PermitRequest {
+  target: string
+  /** The limit as the sender knows it, in requests a second. */
+  perSecond: number
+}
+
+/** Whether the request may be sent, and otherwise when to ask again. */
+export type PermitReply = decisions.targetLimits.Permit
+
 /** Versions that the sender already has. */
 export interface StateRequest {
   agreementVersion: number
@@ -96,5 +108,6 @@
 export interface GatewayCalls {
   TransferTokens: { request: TokenTransferRequest, reply: TokenTransferReply }
   ReturnTokens: { request: TokenReturn, reply: object }
+  RequestPermit: { request: PermitRequest, reply: PermitReply }
   FetchState: { request: StateRequest, reply: GatewayState }
 }
