Test answers that end with their connection

Answers with neither length nor chunks were handled already: whole when the connection ends in order, broken off when it ends inside an event or with a reset, and resumed where the route allows it. Nothing tested this against a target; the stand-in can do all three now. The cases pass on the code as it was.

--- a/packages/gateway/test/serving.test.ts
+++ b/packages/gateway/test/serving.test.ts
@@ -120,6 +120,34 @@
     expect(other?.runs.map((run) => run.lastEventId)).to.deep.equal([3])
   })
 
+  const closeDelimited: Array<{ name: string, path: string, fault: standIns.targetServer.TargetFault, isWhole: boolean, isResumed: boolean }> = [
+    { name: 'forwards a stream as whole that ends with its connection', path: '/plan/1', fault: TargetFault.closeDelimited, isWhole: true, isResumed: false },
+    { name: 'leaves a stream incomplete whose connection ends inside an event', path: '/plan/1', fault: TargetFault.closeInsideEvent, isWhole: false, isResumed: false },
+    { name: 'leaves a stream incomplete whose connection is reset between two events', path: '/plan/1', fault: TargetFault.resetBetweenEvents, isWhole: false, isResumed: false },
+    { name: 'resumes a stream whose connection ends inside an event', path: '/reply/1', fault: TargetFault.closeInsideEvent, isWhole: true, isResumed: true },
+    { name: 'resumes a stream whose connection is reset between two events', path: '/reply/1', fault: TargetFault.resetBetweenEvents, isWhole: true, isResumed: true }
+  ]
+  for (const { name, path, fault, isWhole, isResumed } of closeDelimited) {
+    it(`${name}, with neither length nor chunks`, async () => {
+      await fleet.callModel(0, path, 100, 50)
+      const first = fleet.targets.find((target) => target.runs.length > 0)
+      if (first === undefined) throw new Error('no target ran the request')
+      first.fault = fault
+      const answer = await fleet.callModel(0, path, 100, 50)
+      expect(answer.isWhole).to.equal(isWhole)
+      expect(answer.body.match(/^id: \d+$/gm)).to.deep.equal(Array.from({ length: isWhole ? 6 : 3 }, (_value, index) => `id: ${index + 1}`))
+      const resumedAfter = fleet.platform.runs().map((run) => run.lastEventId).filter((id) => id !== undefined)
+      expect(resumedAfter).to.deep.equal(isResumed ? [3] : [])
+    })
+  }
+
+  it('forwards an answer of a plain service that ends with its connection', async () => {
+    for (const target of fleet.targets) target.fault = TargetFault.closeDelimited
+    const answer = await fleet.call(0, '/order/1', {}, 'order')
+    expect(answer.isWhole).to.equal(true)
+    expect(answer.body).to.contain('ran /order/1')
+  })
+
   it('leaves a broken stream that is not resumable incomplete', async () => {
     for (const target of fleet.targets) target.fault = TargetFault.cutStreams
     const answer = await fleet.callModel(0, '/plan/1', 100, 50)
--- a/packages/stand-ins/src/target-server.ts
+++ b/packages/stand-ins/src/target-server.ts
@@ -13,6 +13,12 @@
   loseAnswers: 'lose-answers',
   /** Resets the connection of a stream in the middle of an event, after half of the events. */
   cutStreams: 'cut-streams',
+  /** Answers without a length or chunks; the end of the connection ends the answer. */
+  closeDelimited: 'close-delimited',
+  /** The same, but the connection of a stream ends inside an event, after half of the events. */
+  closeInsideEvent: 'close-inside-event',
+  /** The same, but the connection of a stream is reset between two events, after half of them. */
+  resetBetweenEvents: 'reset-between-events',
   /** Answers with the attempt id of another request. */
   foreignAnswers: 'foreign-answers',
   /** Sends an unsolicited answer after a whole one; plain services only. */
@@ -78,6 +84,8 @@
   wasCancelled: boolean
 }
 
+const CLOSE_DELIMITED_FAULTS = new Set<TargetFault>([TargetFault.closeDelimited, TargetFault.closeInsideEvent, TargetFault.resetBetweenEvents])
+
 const MISDIRECTED_REQUEST = 421
 
 const FILLER = 'x'.repeat(65_536)
@@ -225,9 +233,12 @@
     if (this.fault === TargetFault.loseAnswers) { message.socket.resetAndDestroy(); return }
     if (this.#crashMoment(run) === CrashMoment.beforeHead) { this.crash(); return }
     if (this.fault === TargetFault.failing) { response.writeHead(500, headers).end('failed'); return }
+    const isCloseDelimited = CLOSE_DELIMITED_FAULTS.has(this.fault)
+    // Without this header, Node neither sends chunks nor keeps the connection.
+    if (isCloseDelimited) response.removeHeader('transfer-encoding')
     if (run.tokenCounts !== undefined) { await this.#streamEvents(message, response, run, headers); return }
     const text = `${this.options.service} ran ${run.path} with ${body.length} bytes`.padEnd(this.options.answerBytes)
-    response.writeHead(200, { ...headers, 'content-length': Buffer.byteLength(text) })
+    response.writeHead(200, isCloseDelimited ? headers : { ...headers, 'content-length': Buffer.byteLength(text) })
     response.end(text)
     if (this.fault === TargetFault.extraBytes) message.socket.write('HTTP/1.1 200 OK\r\nAttempt-Id: nobody\r\nContent-Length: 0\r\n\r\n')
   }
@@ -254,6 +265,14 @@
         response.write(`id: ${id}\nda`, () => { message.socket.resetAndDestroy() })
         return
       }
+      if (this.fault === TargetFault.closeInsideEvent && id > events / 2) {
+        response.end(`id: ${id}\nda`)
+        return
+      }
+      if (this.fault === TargetFault.resetBetweenEvents && id > events / 2) {
+        message.socket.resetAndDestroy()
+        return
+      }
       response.write(`id: ${id}\ndata: piece ${id} of ${run.attemptId}\n\n`)
       run.sentEvents += 1
       await sleep(eventIntervalMs)
