Add limits of targets to the faults of the soak

A target names 0.4, 1.5 or 6 requests a second for 7.5 s. From three seconds on, all hosts together may send it one and a half times that and five more in four seconds, whatever else goes wrong.

--- a/packages/proving/src/soak-faults.ts
+++ b/packages/proving/src/soak-faults.ts
@@ -12,6 +12,19 @@
 const CRASHING_PART_MS = 6000
 const CRASHING_REQUEST_INTERVAL_MS = 300
 
+/** Time for which a target names a limit, in milliseconds, and the limits. */
+const LIMIT_MS = 7500
+const LIMITS_PER_SECOND = [0.4, 1.5, 6]
+
+/** A limit that a target named. */
+export interface NamedLimit {
+  target: standIns.targetServer.TargetServer
+  perSecond: number
+  /** Times between which it was named. */
+  from: number
+  until: number
+}
+
 /** Injects random faults from a seeded source into a fleet. Faults may overlap. */
 export class SoakFaults {
   readonly fleet: fleets.SoakFleet
@@ -22,6 +35,7 @@
   readonly injected: string[] = []
   /** Targets that were set to draining and are not registered as ready again, with the time of that change. */
   readonly leavingSince = new Map<string, number>()
+  readonly limits: NamedLimit[] = []
   /** Routes that the newest configuration has in addition to the default ones. */
   addedRoutes: object[] = []
   #addedRouteCount = 0
@@ -164,6 +178,14 @@
   targetSendsForeignAnswers: async (soak) => { await injectTargetFault(soak, TargetFault.foreignAnswers) },
   targetSendsExtraBytes: async (soak) => { await injectTargetFault(soak, TargetFault.extraBytes) },
   targetMute: async (soak) => { await injectTargetFault(soak, TargetFault.mute) },
+  targetNamesLimit: async (soak) => {
+    const target = soak.randomTarget()
+    if (target.limitPerSecond !== undefined) return
+    target.limitPerSecond = LIMITS_PER_SECOND[soak.randomInteger(LIMITS_PER_SECOND.length)]
+    soak.limits.push({ target, perSecond: target.limitPerSecond, from: performance.now(), until: performance.now() + LIMIT_MS })
+    await fleets.sleep(LIMIT_MS)
+    target.limitPerSecond = undefined
+  },
   targetLeaves: async (soak) => {
     const target = soak.randomTarget()
     const { store } = soak.fleet.platform
--- a/packages/proving/src/soak-judge.ts
+++ b/packages/proving/src/soak-judge.ts
@@ -1,5 +1,6 @@
 import type * as standIns from '@acaciaweir/stand-ins'
 import type * as callers from './soak-callers.js'
+import type * as soakFaults from './soak-faults.js'
 
 /** A guarantee that the gateways broke, with the evidence. */
 export interface Breach {
@@ -11,6 +12,14 @@
 /** Statuses which state that a request has not run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503])
 
+/** Time until a limit must hold, and the windows in which requests are counted, in milliseconds. */
+const LIMIT_HOLDS_AFTER_MS = 3000
+const LIMIT_WINDOW_MS = 4000
+
+/** Excess over the limit that is allowed in a window. */
+const LIMIT_ALLOWED_FACTOR = 1.5
+const LIMIT_ALLOWED_REQUESTS = 5
+
 /** Targets that may end under a prompt part until the gateways must hold it back, and the time that they have for it, in milliseconds. */
 const KNOWN_AFTER_CRASHES = 5
 const HOLD_BACK_TIME_MS = 3000
@@ -47,6 +56,18 @@
   return breaches
 }
 
+/** Checks that all hosts together kept to the limits that targets named. */
+export function findLimitBreaches (limits: readonly soakFaults.NamedLimit[]): Breach[] {
+  const breaches: Breach[] = []
+  for (const { target, perSecond, from, until } of limits) {
+    const counted = target.arrivals.filter((at) => at > from + LIMIT_HOLDS_AFTER_MS && at < until)
+    const most = Math.max(0, ...counted.map((start) => counted.filter((at) => at >= start && at < start + LIMIT_WINDOW_MS).length))
+    const allowed = LIMIT_ALLOWED_FACTOR * perSecond * LIMIT_WINDOW_MS / 1000 + LIMIT_ALLOWED_REQUESTS
+    if (most > allowed) breaches.push({ promise: 'limits of targets', detail: `${target.options.id} got ${most} requests in a window, ${allowed} are allowed at ${perSecond} a second` })
+  }
+  return breaches
+}
+
 /** A crashing part is the first one of its requests, and begins with `bad`. */
 function findCrashingPartBreaches (platform: standIns.platformStandIn.PlatformStandIn): Breach[] {
   const times = new Map<string, number[]>()
--- a/packages/proving/src/soak.ts
+++ b/packages/proving/src/soak.ts
@@ -55,7 +55,7 @@
     await fleets.sleep(RECOVERY_TIME_MS)
     await fleet.waitUntilReady()
     breaches.push(...await findBreachesAfterRecovery(fleet, load, faults))
-    breaches.push(...judges.findBreaches(load.requests, fleet.platform))
+    breaches.push(...judges.findBreaches(load.requests, fleet.platform), ...judges.findLimitBreaches(faults.limits))
   } catch (error) {
     breaches.push({ promise: 'recovery after faults', detail: (error as Error).message })
   } finally {
--- a/packages/proving/test/target-limit.test.ts
+++ b/packages/proving/test/target-limit.test.ts
@@ -27,6 +27,8 @@
   /** Engines with the limit, of four. */
   limitedEngines: number
   requestsPerSecond: number
+  /** Gateways to which the requests come; all by default. */
+  busyGateways?: number
   /** Least share of the requests that are served. */
   leastServed: number
   /** Least share of the limit that the engines get. */
@@ -37,6 +39,7 @@
 const cases: Case[] = [
   { name: 'two of four engines take less than one request a second from each gateway', limitPerSecond: 1.5, limitedEngines: 2, requestsPerSecond: 40, leastServed: 0.95, leastUse: 0.5 },
   { name: 'a limit far below one request a second, while gateways are replaced and paused', limitPerSecond: 0.4, limitedEngines: 2, requestsPerSecond: 40, leastServed: 0.8, leastUse: 0, disturb: replaceAndPause },
+  { name: 'all requests come to one of the gateways', limitPerSecond: 1.5, limitedEngines: 2, requestsPerSecond: 40, busyGateways: 1, leastServed: 0.95, leastUse: 0.5 },
   { name: 'all engines together take less than is offered', limitPerSecond: 5, limitedEngines: 4, requestsPerSecond: 40, leastServed: 0.3, leastUse: 0.7 }
 ]
 
@@ -47,11 +50,11 @@
 }
 
 describe('targets that name a limit', () => {
-  for (const { name, limitPerSecond, limitedEngines, requestsPerSecond, leastServed, leastUse, disturb } of cases) {
+  for (const { name, limitPerSecond, limitedEngines, requestsPerSecond, busyGateways, leastServed, leastUse, disturb } of cases) {
     it(`get no more requests from all gateways than they take: ${name}`, async () => {
       const fleet = new fleets.SoakFleet([ACCOUNT])
       await fleet.start(GATEWAYS, () => {})
-      const offer = createOffer(fleet, requestsPerSecond)
+      const offer = createOffer(fleet, requestsPerSecond, busyGateways)
       await offer(1500)
       const limited = fleet.platform.targets.filter((target) => target.options.service === 'engines').slice(0, limitedEngines)
       for (const target of limited) target.limitPerSecond = limitPerSecond
@@ -90,8 +93,8 @@
   })
 })
 
-/** Returns a function that sends requests to random gateways at a fixed rate for a time, and resolves with all answers. */
-function createOffer (fleet: fleets.SoakFleet, perSecond: number): (milliseconds: number) => Promise<Sent[]> {
+/** Returns a function that sends requests to random ones of the first gateways at a fixed rate for a time, and resolves with all answers. */
+function createOffer (fleet: fleets.SoakFleet, perSecond: number, busyGateways = GATEWAYS): (milliseconds: number) => Promise<Sent[]> {
   const random = new decisions.random.SeededRandom(5)
   let sentRequests = 0
   const send = async (): Promise<Sent> => {
@@ -104,7 +107,7 @@
       model: { promptTokens: 90, outputTokens: 10, session: `a${random.integer(12)}` }
     })
     const sentAt = performance.now()
-    const answer = await standIns.callerClient.send(fleet.hosts[random.integer(GATEWAYS)].callerAddress, '/plan/x', headers, '', PATIENCE_MS)
+    const answer = await standIns.callerClient.send(fleet.hosts[random.integer(busyGateways)].callerAddress, '/plan/x', headers, '', PATIENCE_MS)
     return { sentAt, endedAt: performance.now(), answer }
   }
   return async (milliseconds) => {
