Spread a light load over equal targets

With nothing in flight equal targets cost the same, and each gateway chose the first one of its zone again and again. The one that was used least recently goes first now. The case of placement.test.ts got t0 six times before.

--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -58,8 +58,8 @@
 }
 
 /**
- * Chooses the target with the least expected delay at `now` (monotonic milliseconds), or undefined if the service has no
- * target left to try. Targets in backoff are used only if all are. A target that the filter excludes is not chosen, but may be copied from.
+ * Chooses the target with the least expected delay at `now` (monotonic milliseconds), among equal ones that which was used least recently, or
+ * undefined if the service has no target left to try. Targets in backoff are used only if all are. A target that the filter excludes is not chosen, but may be copied from.
  *
  * Balances load against reuse of cached prompts: a prefix stays at the target that read it while the queue there is
  * short, and is otherwise copied to another target rather than read again. Rendezvous hashing gives each prefix an
@@ -75,7 +75,8 @@
   const cachedTokens = new Map([...sources, ...candidates].map((target) => [target, estimateCachedTokens(board, target.entry.id, request, target.entry.id === affinityId, now)]))
   const copySource = maximumBy(sources, (target) => cachedTokens.get(target) ?? 0)
   const copyableTokens = copySource === undefined ? 0 : estimateCopyableTokens(board, copySource, request, now)
-  const target = maximumBy(candidates, (candidate) => -estimateDelay(candidate, request, cachedTokens.get(candidate) ?? 0, copyableTokens))
+  const leastRecentFirst = [...candidates].sort((left, right) => left.lastStartedAt < right.lastStartedAt ? -1 : left.lastStartedAt > right.lastStartedAt ? 1 : 0)
+  const target = maximumBy(leastRecentFirst, (candidate) => -estimateDelay(candidate, request, cachedTokens.get(candidate) ?? 0, copyableTokens))
   if (target === undefined) return undefined
   const savedTokens = copySource === undefined ? 0 : (cachedTokens.get(copySource) ?? 0) - (cachedTokens.get(target) ?? 0)
   return { target, copyFrom: savedTokens >= MINIMUM_COPIED_TOKENS && copySource !== target ? copySource : undefined }
--- a/packages/decisions/src/target-board.ts
+++ b/packages/decisions/src/target-board.ts
@@ -39,6 +39,8 @@
   failureRatio: number
   /** Monotonic time, in milliseconds, until which requests prefer other targets. */
   backoffUntil: number
+  /** Monotonic time, in milliseconds, at which this router last sent a request to the target. */
+  lastStartedAt: number
 }
 
 interface TrackedTarget extends TargetState {
@@ -78,6 +80,7 @@
       otherRoutersWork: { requests: 0, unreadTokens: 0 },
       failureRatio: 0,
       backoffUntil: 0,
+      lastStartedAt: -Infinity,
       failureRatioAt: 0,
       consecutiveFailures: 0,
       partSentAt: new Map()
@@ -122,6 +125,7 @@
   recordStart (id: string, unreadTokens: number, parts: readonly string[], now: number): void {
     const target = this.#targets.get(id)
     if (target === undefined) return
+    target.lastStartedAt = now
     target.ownWork = { requests: target.ownWork.requests + 1, unreadTokens: target.ownWork.unreadTokens + unreadTokens }
     for (const part of parts) {
       target.partSentAt.delete(part)
--- a/packages/decisions/test/placement.test.ts
+++ b/packages/decisions/test/placement.test.ts
@@ -104,6 +104,17 @@
     })
   }
 
+  it('spreads a light load over equal targets', () => {
+    const board = boardOf(3)
+    const chosen = Array.from({ length: 6 }, (_value, index) => {
+      const id = chosenId(board, plainRequest, [], index) ?? ''
+      board.recordStart(id, 0, [], index)
+      board.recordEnd(id, 'served', index)
+      return id
+    })
+    expect(chosen).to.deep.equal(['t0', 't1', 't2', 't0', 't1', 't2'])
+  })
+
   it('prefers its own zone among equal targets', () => {
     expect(chosenId(boardOf(2, 8, ['b', 'a']), plainRequest)).to.equal('t1')
   })
