State that a request may have run where a part is held back after a send

A request that was lost at one target, not taken by a second one and then held back ended with 503, which promises that it has not run. Read in the code; no run showed it.

--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -337,10 +337,13 @@
         return 'answer-lost'
       })
       .otherwise(() => {
+        if (call.sends.some((send) => send.result !== 'not-run')) {
+          this.#refuse(call, 502, 'no target can take the request now')
+          return 'answer-lost'
+        }
         if (call.heldPart !== undefined) return this.#refuseHeldPart(call)
-        const mayHaveRun = call.sends.some((send) => send.result !== 'not-run')
-        this.#refuse(call, mayHaveRun ? 502 : 503, 'no target can take the request now', mayHaveRun ? undefined : call.permitWaitMs ?? NO_TARGET_RETRY_AFTER_MS)
-        return mayHaveRun ? 'answer-lost' : call.permitWaitMs === undefined ? 'no-target' : 'at-limit'
+        this.#refuse(call, 503, 'no target can take the request now', call.permitWaitMs ?? NO_TARGET_RETRY_AFTER_MS)
+        return call.permitWaitMs === undefined ? 'no-target' : 'at-limit'
       })
   }
 
