--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -69,10 +69,10 @@
   const untried = board.assignableTargets(request.service).filter((target) => !tried.has(target.entry.id))
   const healthy = untried.filter((target) => target.backoffUntil <= now)
   const sources = healthy.length > 0 ? healthy : untried
-  const permitted = sources.filter(isPermitted)
-  const candidates = permitted.length > 0 || healthy.length === 0 ? permitted : untried.filter(isPermitted)
+  const considered = sources.some(isPermitted) ? sources : untried
+  const candidates = considered.filter(isPermitted)
   const affinityId = affinityTargetId(sources, request)
-  const cachedTokens = new Map([...sources, ...candidates].map((target) => [target, estimateCachedTokens(board, target.entry.id, request, target.entry.id === affinityId, now)]))
+  const cachedTokens = new Map(considered.map((target) => [target, estimateCachedTokens(board, target.entry.id, request, target.entry.id === affinityId, now)]))
   const copySource = maximumBy(sources, (target) => cachedTokens.get(target) ?? 0)
   const copyableTokens = copySource === undefined ? 0 : estimateCopyableTokens(board, copySource, request, now)
   const leastRecentFirst = [...candidates].sort((left, right) => left.lastStartedAt < right.lastStartedAt ? -1 : left.lastStartedAt > right.lastStartedAt ? 1 : 0)
--- a/packages/decisions/src/target-limits.ts
+++ b/packages/decisions/src/target-limits.ts
@@ -1,5 +1,5 @@
 /** Least rate at which a target with a limit still gets requests, per second. Without an answer nobody would learn that the limit has ended. */
-const MINIMUM_RATE_PER_SECOND = 0.1
+export const MINIMUM_RATE_PER_SECOND = 0.1
 
 /** Time for which routers are told that a target names no limit any more, in milliseconds. */
 const END_REPORT_MS = 10_000
--- a/packages/gateway/src/target-permits.ts
+++ b/packages/gateway/src/target-permits.ts
@@ -11,6 +11,9 @@
 /** Time for which the most urgent requests wait for a permit, in milliseconds. Those of rank 1 wait half as long, and so on. */
 const MAXIMUM_WAIT_MS = 1000
 
+/** Denials above which those that are over are forgotten. */
+const MAXIMUM_DENIALS = 500
+
 type Entry = decisions.agreementTypes.TargetEntry
 
 export interface TargetPermitsOptions {
@@ -52,7 +55,9 @@
     // While one request asks, the others go to other targets.
     this.#deniedUntil.set(entry.id, Infinity)
     const permit = await this.#requestPermit(decisions.agreementTypes.targetLifetime(entry), perSecond)
-    this.#deniedUntil.set(entry.id, permit.isGranted ? 0 : this.#options.clock.now() + permit.retryAfterMs)
+    if (permit.isGranted) this.#deniedUntil.delete(entry.id)
+    else this.#deniedUntil.set(entry.id, this.#options.clock.now() + permit.retryAfterMs)
+    this.#forgetPastDenials()
     return permit.isGranted
   }
 
@@ -72,7 +77,7 @@
     const now = this.#options.clock.now()
     const nextMs = Math.min(...entries.map((entry) => (this.#deniedUntil.get(entry.id) ?? 0) - now))
     const permitsPerSecond = limits.reduce((sum, limit) => sum + limit, 0) / this.#options.view.gatewayCount()
-    const queuedMs = this.#ranksWaitingFor(entries[0].service).length / Math.max(permitsPerSecond, Number.EPSILON) * 1000
+    const queuedMs = this.#ranksWaitingFor(entries[0].service).length / Math.max(permitsPerSecond, decisions.targetLimits.MINIMUM_RATE_PER_SECOND) * 1000
     return Math.max(0, nextMs === Infinity ? 0 : nextMs) + queuedMs
   }
 
@@ -91,6 +96,14 @@
     }
   }
 
+  #forgetPastDenials (): void {
+    if (this.#deniedUntil.size <= MAXIMUM_DENIALS) return
+    const now = this.#options.clock.now()
+    for (const [id, until] of this.#deniedUntil) {
+      if (until <= now) this.#deniedUntil.delete(id)
+    }
+  }
+
   #limitOf (entry: Entry): number | undefined {
     return this.#options.limits.limitOf(decisions.agreementTypes.targetLifetime(entry))
   }
