--- a/packages/gateway/src/target-permits.ts
+++ b/packages/gateway/src/target-permits.ts
@@ -19,7 +19,7 @@
 export interface TargetPermitsOptions {
   clock: decisions.clock.Clock
   limits: decisions.targetLimits.TargetLimits
-  view: fleetViews.FleetView
+  view: Pick<fleetViews.FleetView, 'gatewayCount' | 'keeperOf' | 'reachableShare'>
   /** Asks the gateway that keeps a target's limit. Rejects if it does not answer. */
   requestPermit: (peerAddress: string, request: routers.gatewayMessages.PermitRequest) => Promise<routers.gatewayMessages.PermitReply>
   onOutcome: (outcome: 'granted' | 'denied' | 'unreachable') => void
