--- a/packages/proving/src/judge.ts
+++ b/packages/proving/src/judge.ts
@@ -57,6 +57,7 @@
   cutAsWhole: number
   newWorkAfterLeaving: number
   configurationReverts: number
+  engineCrashes: number
   configurationMs: number
   unknown: number
   unfinished: number
@@ -88,6 +89,7 @@
     cutAsWhole: countOf(requests, (request) => request.cutAsWhole),
     newWorkAfterLeaving: countOf(served, (run) => run.startedAt > (observations.leavingSince.get(run.target) ?? Infinity) + LEAVING_GRACE_MS),
     configurationReverts: observations.configurationReverts,
+    engineCrashes: fleet.engineCrashTimes.length,
     configurationMs: observations.configurationMs,
     unknown: countOf(requests, (request) => request.outcome === callers.CallerOutcome.unknown),
     unfinished: countOf(requests, (request) => request.outcome === callers.CallerOutcome.failed),
@@ -164,7 +166,7 @@
 
 function listBrokenOutcomes (outcomes: traces.Outcomes, verdict: Pick<Verdict, 'usableBudgetShare' | 'falseRefusals' | 'unfinished' | 'unknown'> & Record<string, number>, requests: callers.RequestReport[]): string[] {
   const broken: string[] = []
-  const upperLimits = ['overspendTokens', 'billedTwice', 'unbilled', 'wrongBills', 'ranTwice', 'notRunButRan', 'wrongAnswers', 'cutAsWhole', 'newWorkAfterLeaving', 'configurationReverts', 'configurationMs'] as const
+  const upperLimits = ['overspendTokens', 'billedTwice', 'unbilled', 'wrongBills', 'ranTwice', 'notRunButRan', 'wrongAnswers', 'cutAsWhole', 'newWorkAfterLeaving', 'configurationReverts', 'engineCrashes', 'configurationMs'] as const
   for (const name of upperLimits) {
     if (verdict[name] > outcomes[name]) broken.push(`${name}: ${verdict[name]} > ${outcomes[name]}`)
   }
--- a/packages/proving/src/replay.ts
+++ b/packages/proving/src/replay.ts
@@ -77,6 +77,7 @@
       .with({ kind: 'kill-target' }, async ({ target }) => { await fleet.killTarget(fleet.target(target)) })
       .with({ kind: 'start-target' }, async ({ target }) => { await fleet.startTarget(fleet.target(target)) })
       .with({ kind: 'target' }, async ({ at: _at, kind: _kind, target, ...change }) => { await fleet.setTarget(fleet.target(target), change) })
+      .with({ kind: 'crash-text' }, async ({ text }) => { await fleet.setCrashText(text) })
       .with({ kind: 'target-leaves' }, async (leaving) => { await this.#targetLeaves(leaving) })
       .with({ kind: 'top-up' }, ({ tokens }) => { this.#background.push(this.#topUp(tokens)) })
       .with({ kind: 'race' }, ({ operators }) => { this.#background.push(this.#probe.race(operators)) })
--- a/packages/proving/src/trace-caller.ts
+++ b/packages/proving/src/trace-caller.ts
@@ -86,7 +86,8 @@
 
   #createRequest (event: traces.RequestEvent, index: number): attempts.PendingRequest {
     const account = this.#accounts[event.account]
-    const messages = [{ role: 'user', content: `Request ${index} of ${account}: which timber, and which round?` }]
+    const shared = event.sharedMessage === undefined ? [] : [{ role: 'system', content: event.sharedMessage }]
+    const messages = [...shared, { role: 'user', content: `Request ${index} of ${account}: which timber, and which round?` }]
     const worstCaseTokens = event.call === 'model'
       ? decisions.worstCase.worstCasePromptTokens(messages) + event.maximumOutputTokens
       : SERVICE_CALL_TOKENS
@@ -141,7 +142,8 @@
       request.report.notRunTags.push(...request.openAttemptTags, problem.requestTag)
       request.report.outcome = CallerOutcome.refused
       if (request.event.call === 'service-once') discardKey(request)
-      request.report.falselyRefused = this.#fitsBudget(request)
+      const isHeldPart = problem.tag === 'held_prompt_part' && request.event.sharedMessage !== undefined
+      request.report.falselyRefused = !isHeldPart && this.#fitsBudget(request)
       return problem.tag === 'budget_exhausted' || problem.tag === 'bad_request' || problem.tag === 'unauthorized'
     }
     if (request.event.call === 'service-once') {
--- a/packages/proving/src/trace-format.ts
+++ b/packages/proving/src/trace-format.ts
@@ -16,6 +16,8 @@
   cutAsWhole: count.default(0),
   newWorkAfterLeaving: count.default(0),
   configurationReverts: count.default(0),
+  /** Engines that crashed under the crash text. */
+  engineCrashes: count.default(0),
   /** Largest share of requests refused although budget and capacity were available. */
   falseRefusalShare: share.default(0),
   /** Largest share of requests that ended with neither a whole answer nor a refusal that states that they did not run. */
@@ -67,9 +69,11 @@
     /** Share of calls to plain services. Half of these run at most once. */
     serviceShare: share.default(0.2),
     /** Share of requests sent by the first client account. The rest is spread evenly over all accounts. */
-    largeAccountShare: share.default(0.4)
+    largeAccountShare: share.default(0.4),
+    /** Message that precedes the own one of each model request. */
+    sharedMessage: zod.string().optional()
   }),
-  zod.strictObject({ kind: zod.literal('request'), at, account: count, call: zod.enum(['model', 'service', 'service-once']), maximumOutputTokens: zod.int().min(1).default(40), callerGoneMs: count.optional() }),
+  zod.strictObject({ kind: zod.literal('request'), at, account: count, call: zod.enum(['model', 'service', 'service-once']), maximumOutputTokens: zod.int().min(1).default(40), callerGoneMs: count.optional(), sharedMessage: zod.string().optional() }),
   zod.strictObject({ kind: zod.literal('kill'), at, routers }),
   zod.strictObject({ kind: zod.literal('start'), at, routers }),
   zod.strictObject({ kind: zod.literal('shut-down'), at, routers }),
@@ -86,6 +90,7 @@
   zod.strictObject({ kind: zod.literal('kill-target'), at, target: zod.string() }),
   zod.strictObject({ kind: zod.literal('start-target'), at, target: zod.string() }),
   zod.strictObject({ kind: zod.literal('target'), at, target: zod.string(), dropAnswers: zod.boolean().optional(), tokenIntervalMs: count.optional(), firstTokenMs: count.optional() }),
+  zod.strictObject({ kind: zod.literal('crash-text'), at, text: zod.string() }),
   zod.strictObject({ kind: zod.literal('target-leaves'), at, target: zod.string(), told: zod.enum(['target', 'host-list', 'manifest']) }),
   zod.strictObject({ kind: zod.literal('top-up'), at, tokens: count }),
   zod.strictObject({ kind: zod.literal('race'), at, operators: zod.int().min(2) })
@@ -132,7 +137,8 @@
       at: load.at + Math.floor((index + random.integer(1000) / 1000) * (load.untilMs - load.at) / total),
       account: isDrawn(load.largeAccountShare) ? 0 : random.integer(deployment.accounts),
       call: !isServiceCall ? 'model' : isDrawn(0.5) ? 'service-once' : 'service',
-      maximumOutputTokens: Math.max(1, Math.floor(load.maximumOutputTokens * (25 + random.integer(76)) / 100))
+      maximumOutputTokens: Math.max(1, Math.floor(load.maximumOutputTokens * (25 + random.integer(76)) / 100)),
+      sharedMessage: load.sharedMessage
     })
   }
   return requests
--- a/packages/proving/test/replay.test.ts
+++ b/packages/proving/test/replay.test.ts
@@ -8,11 +8,13 @@
 
 const TRACES = url.fileURLToPath(new URL('../../../../traces/', import.meta.url))
 
-const cases: Array<{ title: string, file: string, seed: number }> = [
+/** `leastWhole` is the least share of the requests that are answered whole, 0.8 by default. */
+const cases: Array<{ title: string, file: string, seed: number, leastWhole?: number }> = [
   { title: 'bills each request of mixed load once on 8 routers and 9 targets', file: 'short-calm.jsonl', seed: 1 },
   { title: 'reaches the stated outcomes when a router is killed and restarted', file: 'short-kill.jsonl', seed: 1 },
   { title: 'reaches the stated outcomes when the platform is down or loses answers and a router freezes', file: 'short-outage.jsonl', seed: 1 },
-  { title: 'reaches the stated outcomes when targets stop responding and leave', file: 'short-targets.jsonl', seed: 1 }
+  { title: 'reaches the stated outcomes when targets stop responding and leave', file: 'short-targets.jsonl', seed: 1 },
+  { title: 'loses few engines to a message under which they crash', file: 'short-crashing-message.jsonl', seed: 1, leastWhole: 0.5 }
 ]
 
 describe('replay', () => {
@@ -22,7 +24,7 @@
       const verdict = await replays.replay(trace, example.seed)
       chai.expect(verdict.broken, JSON.stringify(verdict)).to.deep.equal([])
       chai.expect(verdict.requests).to.be.greaterThan(100)
-      chai.expect(verdict.answeredWhole).to.be.greaterThan(verdict.requests * 0.8)
+      chai.expect(verdict.answeredWhole).to.be.greaterThan(verdict.requests * (example.leastWhole ?? 0.8))
     })
   }
 
