Report suspected prompt parts for ten seconds only

Read in the code: each heartbeat carried every part that had been lost once and never answered, up to 64 of them for ten minutes, and each gateway merged them from all others.

A part that is not held back is now reported for ten seconds after its last crash; gateways remember what they heard for ten minutes as before. Held parts are reported as long as they are held, so that a gateway that starts later learns them.

--- a/packages/decisions/src/prompt-part-board.ts
+++ b/packages/decisions/src/prompt-part-board.ts
@@ -28,6 +28,9 @@
 /** Time after the last crash for which a part that is not held back stays suspected, in milliseconds. */
 const SUSPICION_LIFETIME_MS = 600_000
 
+/** Time after the last crash for which a part that is not held back is reported, in milliseconds. The others remember it longer. */
+const SUSPICION_REPORT_MS = 10_000
+
 /** Time for which routers are told that a suspected part was answered, in milliseconds. */
 const ANSWER_REPORT_MS = 10_000
 
@@ -118,7 +121,7 @@
       const wasTested = suspect.isHeld && suspect.testedAt > (suspect.crashes.at(-1)?.at ?? -Infinity)
       if (!addCrash(suspect, { target, at: now, seenBy: this.#self })) continue
       if (wasTested) suspect.failedTests += 1
-      isNews ||= this.#isReported(part, suspect)
+      isNews ||= this.#isReported(part, suspect, now)
       this.#updateHold(part, suspect, now)
     }
     this.#bound()
@@ -164,7 +167,7 @@
   /** Returns what the other routers should know, the strongest evidence first. */
   reports (now: number): PromptPartReport[] {
     this.#expire(now)
-    const suspected = [...this.#suspects].filter(([part, suspect]) => this.#isReported(part, suspect))
+    const suspected = [...this.#suspects].filter(([part, suspect]) => this.#isReported(part, suspect, now))
     suspected.sort(([, left], [, right]) => right.crashes.length - left.crashes.length || (right.crashes.at(-1)?.at ?? 0) - (left.crashes.at(-1)?.at ?? 0))
     const answered = [...this.#answerReportedUntil.keys()].filter((part) => !suspected.some(([name]) => name === part))
     return [...answered, ...suspected.map(([part]) => part)].slice(0, MAXIMUM_REPORTS).map((part) => this.#report(part, now))
@@ -212,8 +215,10 @@
   }
 
   /** Suspicions of proven parts are common while targets fail, and matter only once they add up. */
-  #isReported (part: string, suspect: Suspect): boolean {
-    return suspect.isHeld || !this.#provenAt.has(part) || suspect.crashes.length >= CRASHES_TO_HOLD_PROVEN / 2
+  #isReported (part: string, suspect: Suspect, now: number): boolean {
+    if (suspect.isHeld) return true
+    if (now - (suspect.crashes.at(-1)?.at ?? -Infinity) > SUSPICION_REPORT_MS) return false
+    return !this.#provenAt.has(part) || suspect.crashes.length >= CRASHES_TO_HOLD_PROVEN / 2
   }
 
   #crashesToHold (part: string): number {
--- a/packages/decisions/test/prompt-part-board.test.ts
+++ b/packages/decisions/test/prompt-part-board.test.ts
@@ -125,6 +125,15 @@
     expect(refusal?.newestCrashAgeMs).to.equal(200)
   })
 
+  it('reports a part that is not held back for ten seconds, and a held one for as long as it is', () => {
+    const { board } = createBoard()
+    crash(board, ['suspected'], 2)
+    crash(board, ['bad'], 3)
+    expect(board.reports(3000).map(({ part }) => part)).to.deep.equal(['bad', 'suspected'])
+    expect(board.reports(20_000).map(({ part }) => part)).to.deep.equal(['bad'])
+    expect(board.mayRepeat(['suspected'])).to.equal(false)
+  })
+
   it('counts a crash that several routers saw once', () => {
     const [one, two] = [createBoard('one'), createBoard('two')]
     for (const { board } of [one, two]) crash(board, ['bad'], 2)
