Save processor time where no target names a limit, and where targets are chosen

Each request sorted all targets and asked for the limit of each by a name that had to be put together; now equal targets are told apart in one pass, and nothing is asked for while no target is known to have a limit.

--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -75,8 +75,11 @@
   const cachedTokens = new Map(considered.map((target) => [target, estimateCachedTokens(board, target.entry.id, request, target.entry.id === affinityId, now)]))
   const copySource = maximumBy(sources, (target) => cachedTokens.get(target) ?? 0)
   const copyableTokens = copySource === undefined ? 0 : estimateCopyableTokens(board, copySource, request, now)
-  const leastRecentFirst = [...candidates].sort((left, right) => left.lastStartedAt < right.lastStartedAt ? -1 : left.lastStartedAt > right.lastStartedAt ? 1 : 0)
-  const target = maximumBy(leastRecentFirst, (candidate) => -estimateDelay(candidate, request, cachedTokens.get(candidate) ?? 0, copyableTokens))
+  const target = maximumBy(
+    candidates,
+    (candidate) => -estimateDelay(candidate, request, cachedTokens.get(candidate) ?? 0, copyableTokens),
+    (candidate, best) => candidate.lastStartedAt < best.lastStartedAt
+  )
   if (target === undefined) return undefined
   const savedTokens = copySource === undefined ? 0 : (cachedTokens.get(copySource) ?? 0) - (cachedTokens.get(target) ?? 0)
   return { target, copyFrom: savedTokens >= MINIMUM_COPIED_TOKENS && copySource !== target ? copySource : undefined }
@@ -105,13 +108,13 @@
   return baseCost + running * RUNNING_REQUEST_COST_TOKENS + unreadTokens + request.promptTokens - cachedTokens - savedByCopy
 }
 
-/** Returns the first item with the highest measure, or undefined for an empty list. */
-function maximumBy<Item> (items: readonly Item[], measure: (item: Item) => number): Item | undefined {
+/** Returns the item with the highest measure, of equal ones the first that no other is preferred to; undefined for an empty list. */
+function maximumBy<Item> (items: readonly Item[], measure: (item: Item) => number, isPreferred: (item: Item, best: Item) => boolean = () => false): Item | undefined {
   let best: Item | undefined
   let bestValue = -Infinity
   for (const item of items) {
     const value = measure(item)
-    if (value <= bestValue) continue
+    if (value < bestValue || (value === bestValue && best !== undefined && !isPreferred(item, best))) continue
     best = item
     bestValue = value
   }
--- a/packages/decisions/src/target-limits.ts
+++ b/packages/decisions/src/target-limits.ts
@@ -42,6 +42,11 @@
     return [...this.#limits.values()].filter((limit) => limit.perSecond !== undefined).length
   }
 
+  /** No target is known to name a limit, or to have named one lately. */
+  get isEmpty (): boolean {
+    return this.#limits.size === 0
+  }
+
   /** Requests a second that a target takes from all routers together; undefined if it names no limit. */
   limitOf (target: string): number | undefined {
     return this.#limits.get(target)?.perSecond
--- a/packages/gateway/src/target-permits.ts
+++ b/packages/gateway/src/target-permits.ts
@@ -105,6 +105,7 @@
   }
 
   #limitOf (entry: Entry): number | undefined {
+    if (this.#options.limits.isEmpty) return undefined
     return this.#options.limits.limitOf(decisions.agreementTypes.targetLifetime(entry))
   }
 
