Let each gateway report its own crashes only

Each gateway still passed on every suspicion that it had heard for ten seconds, so that all of them merged the same reports from all others, several times a second.

A gateway now reports its own crashes for two seconds, at once and in the heartbeats that follow. What is held back is passed on by all, with all crashes, as before. crashing-prompt-part.test.ts passes.

--- a/packages/decisions/src/prompt-part-board.ts
+++ b/packages/decisions/src/prompt-part-board.ts
@@ -28,8 +28,8 @@
 /** Time after the last crash for which a part that is not held back stays suspected, in milliseconds. */
 const SUSPICION_LIFETIME_MS = 600_000
 
-/** Time after the last crash for which a part that is not held back is reported, in milliseconds. The others remember it longer. */
-const SUSPICION_REPORT_MS = 10_000
+/** Time for which a router reports a crash under a part that is not held back, in milliseconds. The others remember it longer. */
+const SUSPICION_REPORT_MS = 2000
 
 /** Time for which routers are told that a suspected part was answered, in milliseconds. */
 const ANSWER_REPORT_MS = 10_000
@@ -207,7 +207,7 @@
     const answeredAt = this.#provenAt.get(part)
     return {
       part,
-      crashes: (suspect?.crashes ?? []).map(({ target, at, seenBy }) => ({ target, ageMs: Math.round(now - at), seenBy })),
+      crashes: (suspect?.crashes ?? []).filter((crash) => suspect?.isHeld === true || this.#isOwnRecent(crash, now)).map(({ target, at, seenBy }) => ({ target, ageMs: Math.round(now - at), seenBy })),
       answeredAgeMs: answeredAt === undefined ? -1 : Math.round(now - answeredAt),
       testedAgeMs: suspect === undefined || suspect.testedAt === -Infinity ? -1 : Math.round(now - suspect.testedAt),
       failedTests: suspect?.failedTests ?? 0
@@ -217,10 +217,15 @@
   /** Suspicions of proven parts are common while targets fail, and matter only once they add up. */
   #isReported (part: string, suspect: Suspect, now: number): boolean {
     if (suspect.isHeld) return true
-    if (now - (suspect.crashes.at(-1)?.at ?? -Infinity) > SUSPICION_REPORT_MS) return false
+    if (!suspect.crashes.some((crash) => this.#isOwnRecent(crash, now))) return false
     return !this.#provenAt.has(part) || suspect.crashes.length >= CRASHES_TO_HOLD_PROVEN / 2
   }
 
+  /** Each router reports its own crashes to all others, so that suspicions need not be passed on. */
+  #isOwnRecent (crash: Crash, now: number): boolean {
+    return crash.seenBy === this.#self && now - crash.at <= SUSPICION_REPORT_MS
+  }
+
   #crashesToHold (part: string): number {
     return this.#provenAt.has(part) ? CRASHES_TO_HOLD_PROVEN : CRASHES_TO_HOLD_UNPROVEN
   }
