--- a/packages/decisions/src/token-holders.ts
+++ b/packages/decisions/src/token-holders.ts
@@ -1,15 +1,27 @@
-import * as fleetSize from './fleet-size.js'
 import * as hashing from './hashing.js'
 
-/** Routers of a large fleet that draw tokens from the page. With this many writers, conflicting page updates are rare. */
-const MAXIMUM_DRAWING_ROUTERS = 24
-
-/** Drawing routers that hold the tokens of one account. */
-const HOLDERS_PER_ACCOUNT = 6
+/** Routers of a large fleet that draw tokens from the page. Conflicts between their updates stay rare however large the fleet is. */
+export const MAXIMUM_DRAWING_ROUTERS = 12
 
 /** Rendezvous-hashing key that orders routers of equal processor share. */
 const TIE_BREAK_KEY = 'token-holders'
 
+/** How a router obtains an account's tokens. */
+export const TokenRole = {
+  /** Small fleet: draws from the token page and exchanges tokens with all other routers. */
+  peer: 'peer',
+  /** Large fleet: draws from the token page, for itself and for the routers that ask it. */
+  holder: 'holder',
+  /** Large fleet: asks the holder, and draws from the token page if the holder does not answer. */
+  standby: 'standby',
+  /** Large fleet: asks the holder, then the standby. */
+  borrower: 'borrower'
+} as const
+export type TokenRole = typeof TokenRole[keyof typeof TokenRole]
+
+/** Rendezvous-hashing key of the token page. */
+const PAGE_KEY = 'token-page'
+
 /** A router that can be selected to draw tokens. */
 export interface HolderCandidate {
   name: string
@@ -18,29 +30,28 @@
   processorShare: number
 }
 
-/** Routers that draw the tokens of an account. */
-export interface TokenHolders {
-  /** Names in the order in which the given router asks them. The order differs between routers, to spread the load over the holders. */
-  names: string[]
-  /** The fleet is small, so every router draws tokens for itself. */
-  includesAllRouters: boolean
+/** A router's role for an account in a large fleet. */
+export interface TokenAssignment {
+  role: TokenRole
+  /** Names of the routers to ask for tokens, in this order. */
+  othersToAsk: string[]
 }
 
 /**
- * Selects the routers that draw an account's tokens from the page. In a small fleet these are all routers.
- * In a large fleet, an even split over all routers would leave each with less than one large request needs, and every
- * router would write the page. So only a few draw: those with the most processor time in every availability zone, because
- * the other routers ask them for tokens for most of their requests.
+ * Assigns the one router that holds an account's tokens ahead of demand, and its standby. Tokens split over several holders would leave
+ * each with less than one large request needs, and each would write the page.
  */
-export function selectTokenHolders (account: string, self: string, routers: readonly HolderCandidate[]): TokenHolders {
-  if (routers.length <= fleetSize.MAXIMUM_SMALL_FLEET_SIZE) return { names: routers.map((router) => router.name), includesAllRouters: true }
-  const names = hashing.rendezvousOrder(selectDrawingRouters(routers), account, (name) => name).slice(0, HOLDERS_PER_ACCOUNT)
-  const offset = hashing.hashText(self) % names.length
-  return { names: [...names.slice(offset), ...names.slice(0, offset)], includesAllRouters: false }
+export function assignTokenRole (account: string, self: string, drawingRouters: readonly string[]): TokenAssignment {
+  const [holder, standby] = hashing.rendezvousOrder(drawingRouters, account, (name) => name)
+  const role = self === holder ? TokenRole.holder : self === standby ? TokenRole.standby : TokenRole.borrower
+  return { role, othersToAsk: [holder, standby].filter((name) => name !== undefined && name !== self) }
 }
 
-/** Selects the router with the most processor time in each zone, then the second of each zone, and so on. */
-function selectDrawingRouters (routers: readonly HolderCandidate[]): string[] {
+/**
+ * Selects the routers of a large fleet that draw tokens from the page: the one with the most processor time in each availability zone, then
+ * the second of each zone, and so on. The other routers ask them for the tokens of most of their requests.
+ */
+export function selectDrawingRouters (routers: readonly HolderCandidate[]): string[] {
   const countByZone = new Map<string, number>()
   const byProcessorShare = hashing.rendezvousOrder(routers, TIE_BREAK_KEY, (router) => router.name).sort((left, right) => right.processorShare - left.processorShare)
   const ranked = byProcessorShare.map(({ name, availabilityZone }) => {
@@ -50,3 +61,11 @@
   })
   return ranked.sort((left, right) => left.rank - right.rank).slice(0, MAXIMUM_DRAWING_ROUTERS).map(({ name }) => name)
 }
+
+/**
+ * Selects the router that writes the page on behalf of all that draw. A writer that alternates with others knows an outdated revision
+ * at nearly every write; a single one knows the newest, and covers the draws of several holders with one write.
+ */
+export function selectPageWriter (drawingRouters: readonly string[]): string {
+  return hashing.rendezvousOrder(drawingRouters, PAGE_KEY, (name) => name)[0]
+}
--- a/packages/decisions/src/token-pool.ts
+++ b/packages/decisions/src/token-pool.ts
@@ -35,9 +35,12 @@
 /** Ratio to the target level above which a pool returns the excess. Below it, small changes cause no page write. */
 const RETURN_RATIO = 1.25
 
-/** Ratio to the target level below which a pool is refilled. */
+/** Ratio to the target level below which a pool is refilled, if several routers hold an account's tokens. */
 const REFILL_RATIO = 0.7
 
+/** The same for the only holder of an account. No other pool makes good what its own lacks when an outage begins. */
+export const SOLE_HOLDER_REFILL_RATIO = 0.9
+
 interface AccountPool {
   free: number
   reserved: number
@@ -54,6 +57,8 @@
   spendingSince: number | undefined
   /** When this router first spent tokens of the account or gave some to another router, in seconds. */
   firstSpentAt: number | undefined
+  /** When a reservation of the account last ended, in seconds; -Infinity before the first one. */
+  lastUsedAt: number
 }
 
 /** Snapshot of one account's pool. `free` and `reserved` are in tokens. */
@@ -87,6 +92,7 @@
     const spent = Math.min(spentTokens, reservedTokens)
     pool.reserved -= reservedTokens
     pool.free += reservedTokens - spent
+    pool.lastUsedAt = nowSeconds
     decayRate(pool, nowSeconds)
     addSpending(pool, spent, nowSeconds)
   }
@@ -110,6 +116,13 @@
     return Math.ceil(this.spendingRate(account, nowSeconds) * seconds)
   }
 
+  /** Returns the time since a request of the account last ended here, in seconds; 0 while one is in progress, infinite if none ever ended. */
+  idleSeconds (account: string, nowSeconds: number): number {
+    const pool = this.#accounts.get(account)
+    if (pool === undefined) return Infinity
+    return pool.reserved > 0 ? 0 : nowSeconds - pool.lastUsedAt
+  }
+
   /** Removes up to `tokens` free tokens from the pool. Returns the number removed. */
   withdraw (account: string, tokens: number): number {
     const pool = this.#pool(account)
@@ -153,10 +166,13 @@
     return pool.tokensPerSecond / observedWeight
   }
 
-  /** Returns whether the free tokens differ so much from the target level that a page write is worthwhile. */
-  needsRebalancing (account: string, targetLevel: number): boolean {
+  /**
+   * Returns whether the free tokens differ so much from the target level that a change is worthwhile. `refillRatio` is the ratio to the target
+   * level below which the pool is refilled.
+   */
+  needsRebalancing (account: string, targetLevel: number, refillRatio = REFILL_RATIO): boolean {
     const { free } = this.#pool(account)
-    return free < targetLevel * REFILL_RATIO || free > targetLevel * RETURN_RATIO
+    return free < targetLevel * refillRatio || free > targetLevel * RETURN_RATIO
   }
 
   /** Returns a snapshot of all pools by account, for heartbeats and metrics. */
@@ -167,7 +183,7 @@
   #pool (account: string): AccountPool {
     let pool = this.#accounts.get(account)
     if (pool === undefined) {
-      pool = { free: 0, reserved: 0, tokensPerSecond: 0, rateUpdatedAt: 0, firstSpentAt: undefined, wasIdle: false, spendingSince: undefined }
+      pool = { free: 0, reserved: 0, tokensPerSecond: 0, rateUpdatedAt: 0, firstSpentAt: undefined, lastUsedAt: -Infinity, wasIdle: false, spendingSince: undefined }
       this.#accounts.set(account, pool)
     }
     return pool
--- a/packages/decisions/test/tokens.test.ts
+++ b/packages/decisions/test/tokens.test.ts
@@ -99,38 +99,43 @@
   }
 })
 
-describe('selection of token holders', () => {
-  const accounts = Array.from({ length: 40 }, (_value, index) => `account-${index}`)
+describe('assignment of token holders in a large fleet', () => {
+  const accounts = Array.from({ length: 200 }, (_value, index) => `account-${index}`)
   const fleetOf = (size: number, zones: number): tokenHolders.HolderCandidate[] =>
     Array.from({ length: size }, (_value, index) => ({ name: `router-${index}`, availabilityZone: `zone-${index % zones}`, processorShare: index % 2 === 0 ? 1 : 0.3 }))
-  const fleetCases: Array<{ title: string, size: number, zones: number, holders: number, drawing: number, minimumPerZone: number }> = [
-    { title: 'selects all routers of a small fleet', size: 12, zones: 3, holders: 12, drawing: 12, minimumPerZone: 4 },
-    { title: 'selects a few routers of a large fleet, in all zones', size: 70, zones: 3, holders: 6, drawing: 24, minimumPerZone: 8 },
-    { title: 'selects as few routers of a fleet four times as large', size: 300, zones: 6, holders: 6, drawing: 24, minimumPerZone: 4 },
-    { title: 'selects as few routers if there is only one zone', size: 60, zones: 1, holders: 6, drawing: 24, minimumPerZone: 24 }
+  const fleetCases: Array<{ title: string, size: number, zones: number, drawing: number, minimumPerZone: number }> = [
+    { title: 'selects a few routers, in all zones', size: 70, zones: 3, drawing: 12, minimumPerZone: 4 },
+    { title: 'selects as few routers of a fleet four times as large', size: 300, zones: 6, drawing: 12, minimumPerZone: 2 },
+    { title: 'selects as few routers if there is only one zone', size: 60, zones: 1, drawing: 12, minimumPerZone: 12 }
   ]
-  for (const { title, size, zones, holders, drawing, minimumPerZone } of fleetCases) {
+  for (const { title, size, zones, drawing, minimumPerZone } of fleetCases) {
     it(title, () => {
       const fleet = fleetOf(size, zones)
-      const chosen = accounts.map((account) => tokenHolders.selectTokenHolders(account, 'router-0', fleet))
-      expect(chosen.every(({ names, includesAllRouters }) => names.length === holders && includesAllRouters === (holders === size))).to.equal(true)
-      const drawingRouters = fleet.filter((router) => chosen.some(({ names }) => names.includes(router.name)))
-      const countByZone = Array.from({ length: zones }, (_value, zone) => drawingRouters.filter((router) => router.availabilityZone === `zone-${zone}`).length)
-      expect(drawingRouters.length).to.equal(drawing)
+      const selected = tokenHolders.selectDrawingRouters(fleet)
+      const used = new Set(accounts.flatMap((account) => tokenHolders.assignTokenRole(account, '', selected).othersToAsk))
+      expect(selected.length).to.equal(drawing)
+      expect([...used].sort()).to.deep.equal([...selected].sort())
+      const countByZone = Array.from({ length: zones }, (_value, zone) => fleet.filter((router) => used.has(router.name) && router.availabilityZone === `zone-${zone}`).length)
       expect(Math.min(...countByZone)).to.be.at.least(minimumPerZone)
     })
   }
 
-  it('selects the routers with the most processor time in a large fleet', () => {
+  it('selects the routers with the most processor time', () => {
     const fleet = fleetOf(70, 3)
     const weak = new Set(fleet.filter((router) => router.processorShare < 1).map((router) => router.name))
-    for (const account of accounts) expect(tokenHolders.selectTokenHolders(account, 'router-0', fleet).names.some((name) => weak.has(name))).to.equal(false)
+    expect(tokenHolders.selectDrawingRouters(fleet).some((name) => weak.has(name))).to.equal(false)
   })
 
-  it('selects the same holders at all routers, in different orders', () => {
+  it('assigns each account one holder and one standby, the same at all routers', () => {
     const fleet = fleetOf(70, 3)
-    const selections = fleet.map((router) => tokenHolders.selectTokenHolders('depot', router.name, [...fleet].reverse()).names)
-    expect(new Set(selections.map((names) => [...names].sort().join())).size).to.equal(1)
-    expect(new Set(selections.map((names) => names[0])).size).to.equal(6)
+    for (const account of accounts) {
+      const assignments = fleet.map(({ name }) => tokenHolders.assignTokenRole(account, name, tokenHolders.selectDrawingRouters([...fleet].reverse())))
+      const withRole = (role: tokenHolders.TokenRole): string[] => fleet.filter((_router, index) => assignments[index].role === role).map(({ name }) => name)
+      const [holders, standbys] = [withRole('holder'), withRole('standby')]
+      expect([holders.length, standbys.length]).to.deep.equal([1, 1])
+      expect(assignments[fleet.findIndex(({ name }) => name === standbys[0])].othersToAsk).to.deep.equal(holders)
+      const borrowers = assignments.filter(({ role }) => role === 'borrower')
+      expect(borrowers.every(({ othersToAsk }) => othersToAsk.join() === [...holders, ...standbys].join())).to.equal(true)
+    }
   })
 })
--- a/packages/gateway/src/fleet-view.ts
+++ b/packages/gateway/src/fleet-view.ts
@@ -1,14 +1,17 @@
 import * as decisions from '@acaciaweir/decisions'
 import type * as routers from '@acaciaweir/routers'
 import type * as peerTables from './peer-table.js'
-import * as tokenTypes from './token-types.js'
+import type * as tokenTypes from './token-types.js'
 
-/** Time for which an account's holders are cached, in milliseconds: the interval between two rounds of heartbeats. */
+/** Time for which the choice of holders is cached, in milliseconds: the interval between two rounds of heartbeats. */
 const HOLDERS_CACHE_MS = 300
 
-interface CachedHolders {
-  chosenAt: number
-  holders: tokenTypes.AccountHolders
+/** The gateways of a large fleet that draw tokens, and the accounts whose holders were looked up among them. */
+interface DrawingGateways {
+  selectedAt: number
+  names: string[]
+  heartbeats: Map<string, routers.gatewayMessages.GatewayHeartbeat>
+  holders: Map<string, tokenTypes.AccountHolders>
 }
 
 /** The fleet as this gateway sees it by the heartbeats that it received. */
@@ -16,7 +19,7 @@
   readonly #self: decisions.tokenHolders.HolderCandidate
   readonly #peers: peerTables.PeerTable
   readonly #clock: decisions.clock.Clock
-  readonly #cachedHolders = new Map<string, CachedHolders>()
+  #drawing: DrawingGateways | undefined
 
   constructor (self: decisions.tokenHolders.HolderCandidate, peers: peerTables.PeerTable, clock: decisions.clock.Clock) {
     this.#self = self
@@ -64,31 +67,54 @@
    * for `HOLDERS_CACHE_MS`, as ordering all gateways takes time.
    */
   holders (account: string): tokenTypes.AccountHolders {
+    const drawing = this.#drawingGateways()
+    if (drawing !== undefined) return holdersAmong(drawing, account, this.#self.name)
+    const otherHolders = this.#remaining().map(({ sender, freeTokens, spending }) => ({ peerAddress: sender.peerAddress, freeTokens: freeTokens[account] ?? 0, spending: spending[account] ?? 0 }))
+    return { role: decisions.tokenHolders.TokenRole.peer, otherHolders }
+  }
+
+  /** Returns the peer address of the gateway that writes the token page for all; undefined if that is this one, or every gateway of a small fleet. */
+  pageWriter (): string | undefined {
+    const drawing = this.#drawingGateways()
+    return drawing === undefined ? undefined : drawing.heartbeats.get(decisions.tokenHolders.selectPageWriter(drawing.names))?.sender.peerAddress
+  }
+
+  /** Returns the gateways of a large fleet that draw tokens; undefined in a small one, where all do. */
+  #drawingGateways (): DrawingGateways | undefined {
     const now = this.#clock.now()
-    const known = this.#cachedHolders.get(account)
-    if (known !== undefined && now - known.chosenAt < HOLDERS_CACHE_MS) return known.holders
-    const holders = this.#chooseHolders(account)
-    if (holders.role === tokenTypes.TokenRole.peer) this.#cachedHolders.clear()
-    else this.#cachedHolders.set(account, { chosenAt: now, holders })
-    return holders
+    if (this.#drawing !== undefined && now - this.#drawing.selectedAt < HOLDERS_CACHE_MS) return this.#drawing
+    const others = this.#remaining()
+    this.#drawing = 1 + others.length <= decisions.fleetSize.MAXIMUM_SMALL_FLEET_SIZE ? undefined : this.#selectDrawing(others, now)
+    return this.#drawing
   }
 
-  #chooseHolders (account: string): tokenTypes.AccountHolders {
-    const byHost = new Map(this.#live().filter(({ sender }) => !sender.leaving).map((heartbeat) => [heartbeat.sender.host, heartbeat]))
-    const candidates = [...byHost.values()].map(({ sender }) => ({ name: sender.host, availabilityZone: sender.availabilityZone, processorShare: sender.processorShare }))
-    const { names, includesAllRouters } = decisions.tokenHolders.selectTokenHolders(account, this.#self.name, [this.#self, ...candidates])
-    const others = names.map((name) => byHost.get(name)).filter((heartbeat) => heartbeat !== undefined)
+  #selectDrawing (others: routers.gatewayMessages.GatewayHeartbeat[], now: number): DrawingGateways {
+    const candidates = others.map(({ sender }) => ({ name: sender.host, availabilityZone: sender.availabilityZone, processorShare: sender.processorShare }))
     return {
-      role: includesAllRouters ? tokenTypes.TokenRole.peer : names.includes(this.#self.name) ? tokenTypes.TokenRole.holder : tokenTypes.TokenRole.borrower,
-      otherHolders: others.map(({ sender, freeTokens, spending }) => ({
-        peerAddress: sender.peerAddress,
-        freeTokens: includesAllRouters ? freeTokens[account] ?? 0 : undefined,
-        spending: includesAllRouters ? spending[account] ?? 0 : undefined
-      }))
+      selectedAt: now,
+      names: decisions.tokenHolders.selectDrawingRouters([this.#self, ...candidates]),
+      heartbeats: new Map(others.map((heartbeat) => [heartbeat.sender.host, heartbeat])),
+      holders: new Map()
     }
   }
 
+  /** Live gateways that are not leaving. */
+  #remaining (): routers.gatewayMessages.GatewayHeartbeat[] {
+    return this.#live().filter(({ sender }) => !sender.leaving)
+  }
+
   #live (): routers.gatewayMessages.GatewayHeartbeat[] {
     return this.#peers.liveHeartbeats(this.#clock.now())
   }
 }
+
+function holdersAmong ({ names, heartbeats, holders }: DrawingGateways, account: string, self: string): tokenTypes.AccountHolders {
+  let known = holders.get(account)
+  if (known === undefined) {
+    const { role, othersToAsk } = decisions.tokenHolders.assignTokenRole(account, self, names)
+    const others = othersToAsk.map((name) => heartbeats.get(name)).filter((heartbeat) => heartbeat !== undefined)
+    known = { role, otherHolders: others.map(({ sender }) => ({ peerAddress: sender.peerAddress, freeTokens: undefined, spending: undefined })) }
+    holders.set(account, known)
+  }
+  return known
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,7 @@
 import * as targetWatches from './target-watch.js'
 import * as targetConnections from './target-connections.js'
 import * as targetPermits from './target-permits.js'
+import * as tokenPageAccesses from './token-page-access.js'
 import * as tokenPageClients from './token-page-client.js'
 import * as tokenAllocators from './token-allocator.js'
 
@@ -119,7 +120,7 @@
       ...watchOptions,
       incarnation: this.#incarnation,
       prepaidTotals: () => this.#prepaidTotals(),
-      gatewayCount: () => this.#fleetView.gatewayCount(),
+      random: this.#random,
       onTokensCredited: (account, tokens) => { this.#tokenPool.add(account, tokens) }
     })
     this.#tokenTask = this.#createTokenAllocator()
@@ -257,12 +258,18 @@
     return new tokenAllocators.TokenAllocator(this.#tokenPool, {
       selfAddress: this.#settings.peerListen,
       policy: tokenAllocators.POOL_POLICY,
-      pageClient: this.#tokenPages,
+      page: new tokenPageAccesses.TokenPageAccess({
+        pageClient: this.#tokenPages,
+        pool: this.#tokenPool,
+        clock: this.#clock,
+        random: this.#random,
+        pageWriter: () => this.#fleetView.pageWriter(),
+        requestDraw: async (peerAddress, request) => await this.#peerTask.requestDraw(peerAddress, request)
+      }),
       clock: this.#clock,
       random: this.#random,
       logger: this.#logger,
       prepaidTotals: () => this.#prepaidTotals(),
-      gatewayCount: () => this.#fleetView.gatewayCount(),
       holders: (account) => this.#fleetView.holders(account),
       requestTransfer: async (peerAddress, account, tokens) => await this.#peerTask.requestTransfer(peerAddress, account, tokens),
       hasLateTransfer: (account) => this.#peerTask.hasLateTransfer(account),
@@ -297,6 +304,7 @@
       newerState: (known) => this.#fleetExchange.newerState(known),
       knownVersions: () => this.#fleetExchange.knownVersions(),
       handleTransfer: async (request) => await this.#tokenTask.handleTransfer(request),
+      handleDraw: async (request) => await this.#tokenTask.handleDraw(request),
       answerPermit: (request) => this.#targetPermits.answer(request),
       addReturnedTokens: (account, tokens) => { this.#tokenPool.add(account, tokens) },
       onHeartbeat: (heartbeat) => { this.#fleetExchange.applyHeartbeat(heartbeat) },
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -20,6 +20,9 @@
 /** Time that a request waits for a token transfer, in milliseconds. The other gateway may have to draw the tokens first. */
 const TRANSFER_WAIT_MS = 150
 
+/** Time after which a draw ahead of demand counts as unanswered, in milliseconds. It may wait to be written together with others. */
+const AHEAD_DRAW_WAIT_MS = 1000
+
 /** Timeout for one call of a token transfer or return, in milliseconds. An overloaded gateway answers late, with tokens that left its pool. */
 const TRANSFER_TIMEOUT_MS = 2000
 
@@ -59,6 +62,8 @@
   knownVersions: () => routers.gatewayMessages.StateRequest
   /** Takes tokens out of the pool for another gateway. */
   handleTransfer: (request: routers.gatewayMessages.TokenTransferRequest) => Promise<routers.gatewayMessages.TokenTransferReply>
+  /** Draws tokens from the token page for another gateway. */
+  handleDraw: (request: routers.gatewayMessages.DrawRequest) => Promise<routers.gatewayMessages.DrawReply>
   /** Answers a gateway that asks for a permit. */
   answerPermit: (request: routers.gatewayMessages.PermitRequest) => routers.gatewayMessages.PermitReply
   /** Adds tokens that another gateway returned to the pool. */
@@ -130,9 +135,7 @@
    */
   async requestTransfer (peerAddress: string, account: string, tokens: number): Promise<routers.gatewayMessages.TokenTransferReply | undefined> {
     const reply = this.#callForTransfer(peerAddress, account, tokens)
-    const timer = new AbortController()
-    const timelyReply = await Promise.race([reply, this.#options.clock.sleep(TRANSFER_WAIT_MS, timer.signal)])
-    timer.abort()
+    const timelyReply = await this.#within(reply, TRANSFER_WAIT_MS)
     if (timelyReply === undefined) {
       this.#countLateTransfer(account, 1)
       void reply.then((lateReply) => { this.#addLateTokens(peerAddress, account, lateReply) })
@@ -142,6 +145,38 @@
     return timelyReply
   }
 
+  /**
+   * Asks another gateway to draw tokens from the token page. Resolves to undefined if no reply comes in time. The tokens of a late reply are
+   * added to the pool; if none comes at all, tokens that were drawn count as spent.
+   */
+  async requestDraw (peerAddress: string, request: routers.gatewayMessages.DrawRequest): Promise<routers.gatewayMessages.DrawReply | undefined> {
+    const reply = this.#callForDraw(peerAddress, request)
+    const timelyReply = await this.#within(reply, request.isUrgent ? TRANSFER_WAIT_MS : AHEAD_DRAW_WAIT_MS)
+    if (timelyReply === undefined) void reply.then((lateReply) => { this.#addLateDraw(peerAddress, lateReply) })
+    return timelyReply
+  }
+
+  async #callForDraw (peerAddress: string, request: routers.gatewayMessages.DrawRequest): Promise<routers.gatewayMessages.DrawReply | undefined> {
+    try {
+      return await this.#client.call(peerAddress, 'DrawTokens', request, TRANSFER_TIMEOUT_MS)
+    } catch (error) {
+      this.#options.logger.warn({ event: 'draw-failed', peer: peerAddress, accounts: request.draws.length, reason: (error as Error).message })
+      return undefined
+    }
+  }
+
+  #addLateDraw (peerAddress: string, reply: routers.gatewayMessages.DrawReply | undefined): void {
+    for (const { account, tokens } of reply?.drawn ?? []) this.#options.addReturnedTokens(account, tokens)
+    if (reply !== undefined) this.#options.logger.info({ event: 'draw-late', peer: peerAddress, drawn: reply.drawn })
+  }
+
+  async #within<Reply> (reply: Promise<Reply>, milliseconds: number): Promise<Reply | undefined> {
+    const timer = new AbortController()
+    const timelyReply = await Promise.race([reply, this.#options.clock.sleep(milliseconds, timer.signal).then(() => undefined)])
+    timer.abort()
+    return timelyReply
+  }
+
   async #callForTransfer (peerAddress: string, account: string, tokens: number): Promise<routers.gatewayMessages.TokenTransferReply | undefined> {
     const request = { transferId: crypto.randomUUID(), account, tokens, asker: this.#options.selfAddress }
     for (let remainingCalls = MAXIMUM_TRANSFER_CALLS - 1; ; remainingCalls--) {
@@ -191,6 +226,7 @@
   override async answer<Name extends keyof Calls> (name: Name, request: Calls[Name]['request']): Promise<Calls[Name]['reply']> {
     if (name === 'ReturnTokens') return this.#acceptReturn(request as Calls['ReturnTokens']['request'])
     if (name === 'RequestPermit') return this.#options.answerPermit(request as Calls['RequestPermit']['request'])
+    if (name === 'DrawTokens') return await this.#options.handleDraw(request as Calls['DrawTokens']['request'])
     if (name === 'TransferTokens') return await this.#answerTransfer(request as Calls['TransferTokens']['request'])
     return this.#options.newerState(request as Calls['FetchState']['request'])
   }
--- a/packages/gateway/src/token-acquirer.ts
+++ b/packages/gateway/src/token-acquirer.ts
@@ -1,12 +1,14 @@
 import * as decisions from '@acaciaweir/decisions'
 import type * as estimators from './token-estimator.js'
-import * as types from './token-types.js'
+import type * as types from './token-types.js'
 
-/**
- * Backoff after a draw that was not enough for the waiting requests, in milliseconds for each gateway of the fleet. It is skipped
- * if the cached page shows enough tokens.
- */
-const INSUFFICIENT_DRAW_BACKOFF_PER_GATEWAY_MS = 20
+const { TokenRole } = decisions.tokenHolders
+
+/** Backoff after a draw that was not enough for the waiting requests, in milliseconds. It is skipped if the cached page shows enough tokens. */
+const INSUFFICIENT_DRAW_BACKOFF_MS = 200
+
+/** Time for which a gateway that did not answer in time is asked after the others, in milliseconds. */
+const UNANSWERED_BACKOFF_MS = 1000
 
 /**
  * Time limit for acquiring one request's tokens, in milliseconds. It covers the timeouts of two gateways that don't answer, and a
@@ -42,6 +44,10 @@
   readonly #broadcastAt = new Map<string, number>()
   /** Time of the last draw that was not enough for the waiting requests, by account. */
   readonly #insufficientDrawAt = new Map<string, number>()
+  /** Draws in progress, by account. */
+  readonly #draws = new Map<string, Promise<unknown>>()
+  /** Time at which a gateway last failed to answer in time, by peer address. */
+  readonly #unansweredAt = new Map<string, number>()
 
   constructor (pool: decisions.tokenPool.TokenPool, estimator: estimators.TokenEstimator, options: types.TokenAllocatorOptions) {
     this.#pool = pool
@@ -75,45 +81,54 @@
   }
 
   /** Tries once to acquire tokens, and adds them to the pool. Concurrent requests for the same account share one acquisition. */
-  async acquire (account: string, tokens: number): Promise<void> {
+  async acquire (account: string): Promise<void> {
     let acquisition = this.#acquisitions.get(account)
     if (acquisition === undefined) {
-      acquisition = this.#acquireOnce(account, tokens).finally(() => { this.#acquisitions.delete(account) })
+      acquisition = this.#acquireOnce(account).finally(() => { this.#acquisitions.delete(account) })
       this.#acquisitions.set(account, acquisition)
     }
     await acquisition
   }
 
-  async #acquireOnce (account: string, tokens: number): Promise<void> {
+  async #acquireOnce (account: string): Promise<void> {
     const { role, otherHolders } = this.#options.holders(account)
-    if (role === types.TokenRole.borrower) {
-      await this.#borrow(account, otherHolders)
+    if (role === TokenRole.borrower || role === TokenRole.standby) {
+      await this.#borrow(account, otherHolders, role)
+      if (role === TokenRole.standby && !this.#estimator.isUsedUp(account, this.deficit(account))) await this.draw(account)
       return
     }
-    const isCovered = role === types.TokenRole.peer && await this.#requestFromPeers(account, this.deficit(account), otherHolders)
-    if (!isCovered) await this.draw(account, tokens)
-    if (role === types.TokenRole.holder && this.deficit(account) > 0) await this.#borrow(account, otherHolders)
+    const isCovered = role === TokenRole.peer && await this.#requestFromPeers(account, this.deficit(account), otherHolders)
+    if (!isCovered) await this.draw(account)
+    if (role === TokenRole.holder && this.deficit(account) > 0) await this.#borrow(account, otherHolders, role)
   }
 
   /**
-   * Draws tokens from the token page: what the pool lacks for the given tokens, what it lacks for all waiting requests, or its desired
-   * level, whichever is most. Waits at most `PAGE_WAIT_TIMEOUT_MS`; a later answer still adds its tokens to the pool.
+   * Draws tokens from the token page: what the pool lacks for all waiting requests or its desired level, whichever is more. Requests that
+   * arrive during a draw wait for that one. Waits at most `PAGE_WAIT_TIMEOUT_MS`; a later answer still adds its tokens to the pool.
    */
-  async draw (account: string, tokens: number): Promise<void> {
-    const backoffMs = this.#options.gatewayCount() * INSUFFICIENT_DRAW_BACKOFF_PER_GATEWAY_MS
-    const sinceInsufficientMs = this.#options.clock.now() - (this.#insufficientDrawAt.get(account) ?? -Infinity)
-    const isLikelyInsufficient = sinceInsufficientMs < backoffMs && this.#options.pageClient.remaining(account) < tokens - this.#pool.freeTokens(account)
-    if (this.#options.pageClient.isBackingOff() || isLikelyInsufficient) return
-    const drawn = this.#options.pageClient.ask(new Map([[account, Math.max(tokens - this.#pool.freeTokens(account), this.deficit(account), this.#estimator.desiredLevel(account))]]))
-    await Promise.race([drawn, this.#options.clock.sleep(PAGE_WAIT_TIMEOUT_MS)])
-    if (this.#pool.freeTokens(account) < tokens) this.#insufficientDrawAt.set(account, this.#options.clock.now())
+  async draw (account: string): Promise<void> {
+    const { clock, page } = this.#options
+    const deficit = this.deficit(account)
+    if (deficit <= 0) return
+    let draw = this.#draws.get(account)
+    if (draw === undefined) {
+      const sinceInsufficientMs = clock.now() - (this.#insufficientDrawAt.get(account) ?? -Infinity)
+      const isLikelyInsufficient = sinceInsufficientMs < INSUFFICIENT_DRAW_BACKOFF_MS && page.remaining(account) < deficit
+      if (page.isBackingOff() || isLikelyInsufficient) return
+      draw = page.draw(new Map([[account, Math.max(deficit, this.#estimator.desiredLevel(account) - page.pending(account))]])).finally(() => { this.#draws.delete(account) })
+      this.#draws.set(account, draw)
+    }
+    await Promise.race([draw, clock.sleep(PAGE_WAIT_TIMEOUT_MS)])
+    if (this.deficit(account) > 0) this.#insufficientDrawAt.set(account, clock.now())
   }
 
-  /** Requests the deficit, and possibly a prefetch, from the holders one after the other. */
-  async #borrow (account: string, holders: types.TokenHolder[]): Promise<void> {
-    let isUsedUp = holders.length > 0
+  /**
+   * Requests the deficit, and possibly a prefetch, from the holder and then the standby. Only the holder knows whether the budget is used up,
+   * as it has all tokens that are held ahead of demand.
+   */
+  async #borrow (account: string, holders: types.TokenHolder[], role: decisions.tokenHolders.TokenRole): Promise<void> {
     const deadline = this.#options.clock.now() + ACQUIRE_TIMEOUT_MS
-    for (const holder of holders) {
+    for (const holder of this.#answeringFirst(holders)) {
       const deficit = this.deficit(account)
       if (deficit <= 0 || this.#options.clock.now() >= deadline) return
       const expectedSpending = this.#pool.expectedSpending(account, PREFETCH_SECONDS, this.#seconds())
@@ -121,9 +136,19 @@
       const requested = isPrefetchUseful ? deficit + expectedSpending : deficit
       const received = await this.#options.requestTransfer(holder.peerAddress, account, requested)
       this.#pool.add(account, received?.tokens ?? 0)
-      isUsedUp &&= received?.usedUp === true
+      if (received === undefined) this.#unansweredAt.set(holder.peerAddress, this.#options.clock.now())
+      else this.#unansweredAt.delete(holder.peerAddress)
+      if (received?.usedUp === true && holder === holders[0] && role !== TokenRole.holder) {
+        this.#estimator.recordUsedUp(account)
+        return
+      }
     }
-    if (isUsedUp) this.#estimator.recordUsedUp(account)
+  }
+
+  /** Moves gateways that did not answer lately to the end, as a request would wait for each of them again. */
+  #answeringFirst (holders: types.TokenHolder[]): types.TokenHolder[] {
+    const isSilent = ({ peerAddress }: types.TokenHolder): boolean => this.#options.clock.now() - (this.#unansweredAt.get(peerAddress) ?? -Infinity) < UNANSWERED_BACKOFF_MS
+    return [...holders.filter((holder) => !isSilent(holder)), ...holders.filter(isSilent)]
   }
 
   /**
--- a/packages/gateway/src/token-allocator.ts
+++ b/packages/gateway/src/token-allocator.ts
@@ -1,29 +1,31 @@
-import type * as decisions from '@acaciaweir/decisions'
+import * as decisions from '@acaciaweir/decisions'
 import type * as routers from '@acaciaweir/routers'
 import * as estimators from './token-estimator.js'
 import * as pageClients from './token-page-client.js'
 import * as acquirers from './token-acquirer.js'
-import * as types from './token-types.js'
+import type * as types from './token-types.js'
+
+const { TokenRole } = decisions.tokenHolders
 
 /** Outcome of a reservation. `unreachable`: no tokens were found, but the budget is not known to be used up. */
 export const ReserveOutcome = { reserved: 'reserved', exhausted: 'exhausted', unreachable: 'unreachable' } as const
 export type ReserveOutcome = typeof ReserveOutcome[keyof typeof ReserveOutcome]
 
-/** Interval at which the pool is brought back to its desired level, in milliseconds, for a fleet of up to ten gateways. */
+/** Interval at which the pool is brought back to its desired level, in milliseconds. */
 const REBALANCE_INTERVAL_MS = 1500
 
 /** Jitter to either side of the interval, as a share of it. Without it, gateways that started together would keep writing the token page at the same time. */
 const REBALANCE_JITTER_SHARE = 0.5
 
-/** Addition to the interval for each gateway beyond ten, in milliseconds, so that writes of the token page seldom conflict. */
-const REBALANCE_INTERVAL_PER_GATEWAY_MS = 40
-
 /** Least change that is written to the token page, as a share of the account's prepaid total. Smaller ones wait for a later round. */
 const MINIMUM_CHANGE_SHARE = 0.002
 
 /** Least return of a borrower to a holder, as a share of the account's prepaid total. It is smaller, as a large fleet has many borrowers. */
 const MINIMUM_BORROWER_RETURN_SHARE = 0.0002
 
+/** Draws that a gateway makes before it answers another gateway's request for tokens. The second one covers requests that arrived during the first. */
+const MAXIMUM_DRAWS_PER_TRANSFER = 2
+
 /** Attempts to acquire tokens for one request. */
 const MAXIMUM_ACQUIRE_ATTEMPTS = 3
 
@@ -75,8 +77,8 @@
     return {
       free: this.#pool.freeTokens(account),
       elsewhere: this.#estimator.freeElsewhere(account),
-      remaining: this.#options.pageClient.remaining(account),
-      pageAgeMs: Math.round(this.#options.pageClient.ageMs())
+      remaining: this.#options.page.remaining(account),
+      pageAgeMs: Math.round(this.#options.page.ageMs(account))
     }
   }
 
@@ -88,7 +90,7 @@
       const deadline = this.#options.clock.now() + acquirers.ACQUIRE_TIMEOUT_MS
       for (let attempt = 0; attempt < MAXIMUM_ACQUIRE_ATTEMPTS && this.#options.clock.now() < deadline; attempt++) {
         if (this.#estimator.isUsedUp(account, tokens) && !this.#acquirer.isBroadcastDue(account)) return ReserveOutcome.exhausted
-        await this.#acquirer.acquire(account, tokens)
+        await this.#acquirer.acquire(account)
         if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
       }
       return this.#estimator.isUsedUp(account, tokens) ? ReserveOutcome.exhausted : ReserveOutcome.unreachable
@@ -103,33 +105,43 @@
   }
 
   /**
-   * Takes free tokens out of the pool for another gateway, up to the requested number. A holder draws what it lacks first. In a small
-   * fleet, a gateway that needs the tokens itself and has priority gives none.
+   * Takes free tokens out of the pool for another gateway, up to the requested number. In a small fleet, a gateway that needs the tokens
+   * itself and has priority gives none. In a large one it draws what it lacks first, whatever its role: the asking gateway may know the
+   * fleet better.
    */
   async handleTransfer ({ account, tokens, asker }: routers.gatewayMessages.TokenTransferRequest): Promise<routers.gatewayMessages.TokenTransferReply> {
     const { role } = this.#options.holders(account)
-    if (role === types.TokenRole.peer) {
+    if (role === TokenRole.peer) {
       const given = this.#acquirer.hasPriorityOver(account, asker) ? 0 : this.#pool.withdraw(account, tokens)
       return { tokens: given, usedUp: false, freeTokens: this.#pool.freeTokens(account) }
     }
-    if (role === types.TokenRole.holder && this.#pool.freeTokens(account) < tokens) await this.#acquirer.draw(account, tokens)
+    if (this.#pool.freeTokens(account) < tokens) await this.#drawForTransfer(account, tokens)
     const given = this.#pool.transferOut(account, tokens, this.#seconds())
-    const usedUp = role === types.TokenRole.holder && given < tokens && this.#estimator.isUsedUp(account, tokens - given)
+    const usedUp = role === TokenRole.holder && given < tokens && this.#estimator.isUsedUp(account, tokens - given)
     return { tokens: given, usedUp, freeTokens: this.#pool.freeTokens(account) }
   }
 
+  async #drawForTransfer (account: string, tokens: number): Promise<void> {
+    this.#acquirer.addWaitingTokens(account, tokens)
+    try {
+      for (let count = 0; count < MAXIMUM_DRAWS_PER_TRANSFER && this.#pool.freeTokens(account) < tokens; count++) await this.#acquirer.draw(account)
+    } finally {
+      this.#acquirer.addWaitingTokens(account, -tokens)
+    }
+  }
+
   /** Returns all free tokens to the token page, or to another gateway if the store is unreachable. Stops rebalancing. */
   async returnAllTokens (): Promise<void> {
     this.#isClosing = true
-    const changes = new Map<string, number>()
+    const returned = new Map<string, number>()
     for (const [account, level] of this.#pool.levels()) {
-      const returned = this.#pool.withdraw(account, level.free)
-      if (returned > 0) changes.set(account, -returned)
+      const tokens = this.#pool.withdraw(account, level.free)
+      if (tokens > 0) returned.set(account, tokens)
     }
-    if (changes.size === 0) return
-    const result = await this.#options.pageClient.ask(changes)
-    this.#options.logger.info({ event: 'tokens-handed-back', result, accounts: changes.size })
-    if (result === pageClients.PageResult.unreachable) await Promise.all([...changes.keys()].map(async (account) => { await this.#returnToHolder(account, Infinity) }))
+    if (returned.size === 0) return
+    const result = await this.#options.page.giveBack(returned)
+    this.#options.logger.info({ event: 'tokens-handed-back', result, accounts: returned.size })
+    if (result === pageClients.PageResult.unreachable) await Promise.all([...returned.keys()].map(async (account) => { await this.#returnToHolder(account, Infinity) }))
   }
 
   /** Sends up to `tokens` free tokens to the first other gateway that draws from the token page. Does nothing if there is none. */
@@ -148,27 +160,52 @@
   async rebalance (): Promise<void> {
     const totals = this.#options.prepaidTotals()
     if (totals === undefined || this.#isClosing) return
-    if (this.#options.pageClient.ageMs() === Infinity && await this.#options.pageClient.ask(new Map()) === pageClients.PageResult.unreachable) return
-    const changes = new Map<string, number>()
+    const accounts = Object.keys(totals.totals)
+    const isBorrowed = (account: string): boolean => this.#isBorrowed(account)
+    await Promise.all([
+      ...accounts.filter(isBorrowed).map(async (account) => { await this.#returnExcess(account, totals.totals[account]) }),
+      this.#rebalanceWithPage(new Map(accounts.filter((account) => !isBorrowed(account)).map((account) => [account, totals.totals[account]])))
+    ])
+  }
+
+  #isBorrowed (account: string): boolean {
+    const { role } = this.#options.holders(account)
+    return role === TokenRole.borrower || role === TokenRole.standby
+  }
+
+  async #returnExcess (account: string, total: number): Promise<void> {
+    const desired = this.#estimator.desiredLevel(account)
+    const excess = this.#pool.freeTokens(account) - desired
+    if (excess >= total * MINIMUM_BORROWER_RETURN_SHARE && this.#pool.needsRebalancing(account, desired)) await this.#returnToHolder(account, excess)
+  }
+
+  async #rebalanceWithPage (totals: Map<string, number>): Promise<void> {
+    if (totals.size === 0) return
+    const unknown = [...totals.keys()].filter((account) => this.#options.page.ageMs(account) === Infinity)
+    if (unknown.length > 0 && await this.#options.page.draw(new Map(unknown.map((account) => [account, 0]))) === pageClients.PageResult.unreachable) return
+    const draws = new Map<string, number>()
+    const excess = new Map<string, number>()
     let isDue = false
-    for (const [account, total] of Object.entries(totals.totals)) {
+    for (const [account, total] of totals) {
       const desired = this.#estimator.desiredLevel(account)
-      const change = desired - this.#pool.freeTokens(account)
-      const isBorrower = this.#options.holders(account).role === types.TokenRole.borrower
-      if (Math.abs(change) < total * (isBorrower ? MINIMUM_BORROWER_RETURN_SHARE : MINIMUM_CHANGE_SHARE)) continue
-      const isOffLevel = this.#pool.needsRebalancing(account, desired)
-      if (isBorrower) {
-        if (isOffLevel) await this.#returnToHolder(account, -change)
-        continue
-      }
-      changes.set(account, change)
+      const change = desired - this.#pool.freeTokens(account) - this.#options.page.pending(account)
+      const isOffLevel = this.#pool.needsRebalancing(account, desired, this.#refillRatio(account))
+      if (Math.abs(change) < total * MINIMUM_CHANGE_SHARE) continue
+      if (change > 0) draws.set(account, change)
+      else if (isOffLevel) excess.set(account, -change)
       isDue ||= isOffLevel
     }
     if (!isDue) return
-    for (const [account, change] of changes) {
-      if (change < 0) changes.set(account, -this.#pool.withdraw(account, -change))
-    }
-    await this.#options.pageClient.ask(changes)
+    await this.#options.page.change(draws, new Map([...excess].map(([account, tokens]) => [account, this.#pool.withdraw(account, tokens)])))
+  }
+
+  #refillRatio (account: string): number | undefined {
+    return this.#options.holders(account).role === TokenRole.holder ? decisions.tokenPool.SOLE_HOLDER_REFILL_RATIO : undefined
+  }
+
+  /** Draws for another gateway, as the one that writes the token page for all. */
+  async handleDraw (request: routers.gatewayMessages.DrawRequest): Promise<routers.gatewayMessages.DrawReply> {
+    return await this.#options.page.drawForOther(request)
   }
 
   async #run (): Promise<void> {
@@ -180,9 +217,8 @@
   }
 
   #nextDelayMs (): number {
-    const intervalMs = REBALANCE_INTERVAL_MS + Math.max(0, this.#options.gatewayCount() - 10) * REBALANCE_INTERVAL_PER_GATEWAY_MS
-    const jitterMs = intervalMs * REBALANCE_JITTER_SHARE
-    return intervalMs - jitterMs + this.#options.random.integer(Math.ceil(2 * jitterMs))
+    const jitterMs = REBALANCE_INTERVAL_MS * REBALANCE_JITTER_SHARE
+    return REBALANCE_INTERVAL_MS - jitterMs + this.#options.random.integer(Math.ceil(2 * jitterMs))
   }
 
   #seconds (): number {
--- a/packages/gateway/src/token-page-client.ts
+++ b/packages/gateway/src/token-page-client.ts
@@ -7,12 +7,12 @@
 /** Conditional writes of one change before it fails because other gateways keep writing the page first. */
 const MAXIMUM_WRITE_ATTEMPTS = 6
 
+/** Longest pause after the first conflict of a change, in milliseconds; it grows by as much with each further one. Without it, gateways that wrote at the same time would conflict again. */
+const CONFLICT_BACKOFF_MS = 15
+
 /** Backoff after a failed store call, in milliseconds. Without it, requests would queue behind store timeouts. */
 const FAILURE_BACKOFF_MS = 800
 
-/** Addition to the backoff for each gateway beyond ten, in milliseconds, so that a large fleet doesn't overload a failing store. */
-const FAILURE_BACKOFF_PER_GATEWAY_MS = 40
-
 /**
  * Age up to which the cached page answers, without a store call, that it has no tokens left for an account, in milliseconds.
  * Tokens that other gateways return are noticed up to this much later.
@@ -36,11 +36,10 @@
   incarnation: string
   store: platform.objectStore.ObjectStore
   clock: decisions.clock.Clock
+  random: decisions.random.RandomSource
   logger: runtime.logging.Logger
   /** Prepaid totals of the agreement in force. Undefined if no agreement with client accounts is in force. */
   prepaidTotals: () => PrepaidTotals | undefined
-  /** Number of live gateways, this one included. */
-  gatewayCount: () => number
   /** Called with tokens to add to the pool: drawn tokens, or tokens that could not be returned. Always positive. */
   onTokensCredited: (account: string, tokens: number) => void
 }
@@ -94,8 +93,7 @@
 
   /** Returns true for a while after a failed store call, as the next call would most likely fail too. */
   isBackingOff (): boolean {
-    const backoffMs = FAILURE_BACKOFF_MS + Math.max(0, this.#options.gatewayCount() - 10) * FAILURE_BACKOFF_PER_GATEWAY_MS
-    return this.#options.clock.now() - this.#failedAt < backoffMs
+    return this.#options.clock.now() - this.#failedAt < FAILURE_BACKOFF_MS
   }
 
   /** Draws (positive) or returns (negative) tokens by account. Only reads the page if there are no changes. */
@@ -113,6 +111,7 @@
       if (outcome === 'done') return PageResult.changed
       if (outcome === 'lost') return PageResult.unreachable
       if (outcome === 'unreachable') break
+      await this.#options.clock.sleep(this.#options.random.integer(CONFLICT_BACKOFF_MS * (attempt + 1)))
     }
     for (const [account, tokens] of returned) this.#options.onTokensCredited(account, -tokens)
     return PageResult.unreachable
--- a/packages/gateway/src/token-types.ts
+++ b/packages/gateway/src/token-types.ts
@@ -1,6 +1,7 @@
 import type * as decisions from '@acaciaweir/decisions'
 import type * as routers from '@acaciaweir/routers'
 import type * as runtime from '@acaciaweir/runtime'
+import type * as pageAccesses from './token-page-access.js'
 import type * as pageClients from './token-page-client.js'
 
 /** Another gateway that may hold tokens of a client account. */
@@ -12,21 +13,10 @@
   spending: number | undefined
 }
 
-/** How a gateway obtains an account's tokens. */
-export const TokenRole = {
-  /** Small fleet: draws from the token page and exchanges tokens with all other gateways. */
-  peer: 'peer',
-  /** Large fleet: draws from the token page, for itself and for the borrowers. */
-  holder: 'holder',
-  /** Large fleet: requests tokens from the holders. */
-  borrower: 'borrower'
-} as const
-export type TokenRole = typeof TokenRole[keyof typeof TokenRole]
-
 /** This gateway's role for an account, and the other gateways that hold the account's tokens. */
 export interface AccountHolders {
-  role: TokenRole
-  /** Other gateways that draw from the token page, in the order in which to ask them. */
+  role: decisions.tokenHolders.TokenRole
+  /** Other gateways that draw from the token page, in the order in which to ask them: in a large fleet the holder, then the standby. */
   otherHolders: TokenHolder[]
 }
 
@@ -34,15 +24,13 @@
 export interface TokenAllocatorOptions {
   /** Peer address of this gateway. */
   selfAddress: string
-  pageClient: pageClients.TokenPageClient
+  page: pageAccesses.TokenPageAccess
   policy: decisions.tokenPool.PoolPolicy
   clock: decisions.clock.Clock
   random: decisions.random.RandomSource
   logger: runtime.logging.Logger
   /** Prepaid totals of the agreement in force. Undefined if no agreement with client accounts is in force. */
   prepaidTotals: () => pageClients.PrepaidTotals | undefined
-  /** Number of live gateways, this one included. */
-  gatewayCount: () => number
   /** Returns the gateways that draw the account's tokens from the token page. */
   holders: (account: string) => AccountHolders
   /** Requests tokens from another gateway. Resolves to undefined if it doesn't answer in time. */
--- a/packages/gateway/test/budget-load.test.ts
+++ b/packages/gateway/test/budget-load.test.ts
@@ -2,9 +2,10 @@
 import * as runtime from '@acaciaweir/runtime'
 import * as chai from 'chai'
 import * as stores from './fake-page-store.js'
+import * as tokenPageAccesses from '../src/token-page-access.js'
 import * as tokenPageClients from '../src/token-page-client.js'
 import * as tokenAllocators from '../src/token-allocator.js'
-import * as tokenTypes from '../src/token-types.js'
+import type * as tokenTypes from '../src/token-types.js'
 
 // Pools that are too small run dry while the store is unreachable, and pools that are too large lose too many tokens when all gateways
 // crash, or leave tokens idle at gateways without requests. The replay sends one account's load through fleets of both sizes and
@@ -90,12 +91,26 @@
   }
 
   #accountHolders (account: string, index: number): tokenTypes.AccountHolders {
-    const { names, includesAllRouters } = decisions.tokenHolders.selectTokenHolders(account, String(index), Array.from({ length: this.#gatewayCount }, (_value, position) => ({ name: String(position), availabilityZone: String(position % 3), processorShare: 1 })))
-    const isHolder = names.includes(String(index))
-    return {
-      role: includesAllRouters ? tokenTypes.TokenRole.peer : isHolder ? tokenTypes.TokenRole.holder : tokenTypes.TokenRole.borrower,
-      otherHolders: names.filter((name) => name !== String(index)).map((name) => ({ peerAddress: name, freeTokens: includesAllRouters ? this.#gateways[Number(name)].pool.freeTokens(account) : undefined, spending: includesAllRouters ? this.#gateways[Number(name)].pool.spendingRate(account, this.#clock.time / 1000) : undefined }))
+    const names = Array.from({ length: this.#gatewayCount }, (_value, position) => String(position))
+    if (this.#gatewayCount <= decisions.fleetSize.MAXIMUM_SMALL_FLEET_SIZE) {
+      const others = names.filter((name) => name !== String(index))
+      return {
+        role: decisions.tokenHolders.TokenRole.peer,
+        otherHolders: others.map((name) => ({ peerAddress: name, freeTokens: this.#gateways[Number(name)].pool.freeTokens(account), spending: this.#gateways[Number(name)].pool.spendingRate(account, this.#clock.time / 1000) }))
+      }
     }
+    const { role, othersToAsk } = decisions.tokenHolders.assignTokenRole(account, String(index), this.#drawingGateways())
+    return { role, otherHolders: othersToAsk.map((name) => ({ peerAddress: name, freeTokens: undefined, spending: undefined })) }
+  }
+
+  #drawingGateways (): string[] {
+    return decisions.tokenHolders.selectDrawingRouters(Array.from({ length: this.#gatewayCount }, (_value, position) => ({ name: String(position), availabilityZone: String(position % 3), processorShare: 1 })))
+  }
+
+  #pageWriter (index: number): string | undefined {
+    if (this.#gatewayCount <= decisions.fleetSize.MAXIMUM_SMALL_FLEET_SIZE) return undefined
+    const writer = decisions.tokenHolders.selectPageWriter(this.#drawingGateways())
+    return writer === String(index) ? undefined : writer
   }
 
   #createGateway (index: number): SimulatedGateway {
@@ -109,18 +124,24 @@
       clock,
       logger,
       prepaidTotals: totals,
-      gatewayCount: () => this.#gatewayCount,
+      random: new decisions.random.SeededRandom(index),
       onTokensCredited: (account, tokens) => { pool.add(account, tokens) }
     })
     const task = new tokenAllocators.TokenAllocator(pool, {
       selfAddress: String(index),
       policy: this.#policy,
-      pageClient: pages,
+      page: new tokenPageAccesses.TokenPageAccess({
+        pageClient: pages,
+        pool,
+        clock,
+        random: new decisions.random.SeededRandom(index),
+        pageWriter: () => this.#pageWriter(index),
+        requestDraw: async (peerAddress, request) => await this.#gateways[Number(peerAddress)].task.handleDraw(request)
+      }),
       clock,
       random: new decisions.random.SeededRandom(index),
       logger,
       prepaidTotals: totals,
-      gatewayCount: () => this.#gatewayCount,
       holders: (account) => this.#accountHolders(account, index),
       requestTransfer: async (peerAddress, account, tokens) => await this.#gateways[Number(peerAddress)].task.handleTransfer({ transferId: '', account, tokens, asker: String(index) }),
       hasLateTransfer: () => false,
--- a/packages/gateway/test/peer-task.test.ts
+++ b/packages/gateway/test/peer-task.test.ts
@@ -35,6 +35,7 @@
       await clock.sleep(delayMs)
       return { tokens: 100, usedUp: false, freeTokens: 0 }
     },
+    handleDraw: async () => ({ isDone: false, drawn: [], remaining: [], pageAgeMs: 0 }),
     answerPermit: () => ({ isGranted: true, retryAfterMs: 0 }),
     addReturnedTokens: (_account, tokens) => { peer.addedTokens += tokens },
     onHeartbeat: () => {},
--- a/packages/gateway/test/token-allocator.test.ts
+++ b/packages/gateway/test/token-allocator.test.ts
@@ -2,16 +2,16 @@
 import * as runtime from '@acaciaweir/runtime'
 import * as chai from 'chai'
 import * as stores from './fake-page-store.js'
+import * as tokenPageAccesses from '../src/token-page-access.js'
 import * as tokenPageClients from '../src/token-page-client.js'
 import * as tokenAllocators from '../src/token-allocator.js'
-import * as tokenTypes from '../src/token-types.js'
 
 // In a large fleet a few holders draw an account's tokens from the token page, and all other gateways borrow from them. The tests
 // guard against borrowers that draw for themselves or keep idle tokens, against draws after a stop, and against waiting requests that
 // are refused because a shared transfer covers only one of them.
 
 const { expect } = chai
-const { TokenRole } = tokenTypes
+const { TokenRole } = decisions.tokenHolders
 
 const TOTAL = 100_000
 const HOLDER = '10.0.0.9:1'
@@ -30,14 +30,13 @@
     const logger = runtime.logging.createLogger('silent')
     const totals = (): tokenPageClients.PrepaidTotals => ({ version: 1, totals: { drawn: TOTAL, borrowed: TOTAL } })
     const shared = { clock, logger }
-    const pages = new tokenPageClients.TokenPageClient({ ...shared, prepaidTotals: totals, gatewayCount: () => 70, incarnation: 'one', store: this.#store, onTokensCredited: (account, tokens) => { this.pool.add(account, tokens) } })
+    const pages = new tokenPageClients.TokenPageClient({ ...shared, prepaidTotals: totals, random: new decisions.random.SeededRandom(2), incarnation: 'one', store: this.#store, onTokensCredited: (account, tokens) => { this.pool.add(account, tokens) } })
     this.task = new tokenAllocators.TokenAllocator(this.pool, {
       ...shared,
       prepaidTotals: totals,
-      gatewayCount: () => 70,
       selfAddress: '10.0.0.1:1',
       policy: tokenAllocators.POOL_POLICY,
-      pageClient: pages,
+      page: new tokenPageAccesses.TokenPageAccess({ pageClient: pages, pool: this.pool, clock, random: new decisions.random.SeededRandom(3), pageWriter: () => undefined, requestDraw: async () => undefined }),
       random: new decisions.random.SeededRandom(1),
       holders: (account) => ({ role: account === 'drawn' ? TokenRole.holder : TokenRole.borrower, otherHolders: [{ peerAddress: HOLDER, freeTokens: undefined, spending: undefined }] }),
       requestTransfer: async (_peerAddress, _account, tokens) => {
--- a/packages/gateway/test/token-page-client.test.ts
+++ b/packages/gateway/test/token-page-client.test.ts
@@ -1,4 +1,4 @@
-import type * as decisions from '@acaciaweir/decisions'
+import * as decisions from '@acaciaweir/decisions'
 import * as runtime from '@acaciaweir/runtime'
 import * as chai from 'chai'
 import * as fastCheck from 'fast-check'
@@ -20,7 +20,7 @@
     clock: clock as decisions.clock.Clock,
     logger: runtime.logging.createLogger('silent'),
     prepaidTotals: totals,
-    gatewayCount: () => 3,
+    random: new decisions.random.SeededRandom(1),
     onTokensCredited: (_account, tokens) => { held.tokens += tokens }
   })
 }
--- a/packages/routers/src/gateway-messages.ts
+++ b/packages/routers/src/gateway-messages.ts
@@ -75,6 +75,31 @@
   freeTokens: number
 }
 
+/** Tokens of one client account. */
+export interface AccountTokens {
+  account: string
+  tokens: number
+}
+
+/** Asks the gateway that writes the token page to draw tokens. With 0 tokens, only what remains is asked for. */
+export interface DrawRequest {
+  draws: AccountTokens[]
+  /** Requests wait for the tokens. Others are drawn together with those of more gateways. */
+  isUrgent: boolean
+}
+
+/** Tokens drawn for the asking gateway, and the page as of then. */
+export interface DrawReply {
+  /** The page was written or read as needed. If not, nothing was drawn. */
+  isDone: boolean
+  /** Tokens that were drawn and now belong to the asking gateway. */
+  drawn: AccountTokens[]
+  /** Tokens that remain on the page. */
+  remaining: AccountTokens[]
+  /** Time since the page was last read or written, in milliseconds. */
+  pageAgeMs: number
+}
+
 /** Tokens that the sender has removed from its pool for the receiver to add to its own. */
 export interface TokenReturn {
   account: string
@@ -107,6 +132,7 @@
 /** Request and reply types of the RPCs between gateways, by name. */
 export interface GatewayCalls {
   TransferTokens: { request: TokenTransferRequest, reply: TokenTransferReply }
+  DrawTokens: { request: DrawRequest, reply: DrawReply }
   ReturnTokens: { request: TokenReturn, reply: object }
   RequestPermit: { request: PermitRequest, reply: PermitReply }
   FetchState: { request: StateRequest, reply: GatewayState }
