Let three gateways of a large fleet watch the store, and others take over by the age of what they know

Store calls were the largest price on all large deployments: three gateways of each zone watched, and after 4.5 s without the store every gateway took the duty over, as its own name always counted as connected, so that an outage made the whole fleet call the store.

Change: decisions/watch-duty ranks the fleet, zones first; the first three watch, whatever the size. Heartbeats carry the age of what the sender knows, and each gateway takes the newest. Where that age exceeds 3 s, the next in rank watch too, one each 0.6 s, for 5 s.

--- a/packages/decisions/src/watch-duty.ts
+++ b/packages/decisions/src/watch-duty.ts
@@ -1,28 +1,54 @@
-import * as fleetSize from './fleet-size.js'
 import * as hashing from './hashing.js'
 
 /** A router that may watch the store on behalf of others. */
 export interface StoreWatcher {
   name: string
   availabilityZone: string
-  /** Time since the store last answered this router, in milliseconds. */
-  storeSilenceMs: number
 }
 
-/** Routers in each availability zone of a large fleet that watch the store. */
-const WATCHERS_PER_ZONE = 3
+/** Routers of a large fleet that watch the store, whatever its size. Their zones differ as far as possible. */
+const WATCHERS = 3
 
-/** Time without an answer from the store after which a watcher is considered cut off from it. */
-const STORE_UNREACHABLE_AFTER_MS = 4500
+/** Age of what a router knows of the store at which the first router besides the watchers takes their duty over, in milliseconds. */
+const TAKE_OVER_AGE_MS = 3000
+
+/** Addition to that for each further router, in milliseconds. In an outage of the store only a few try to take over. */
+const TAKE_OVER_DELAY_PER_ROUTER_MS = 600
+
+/** Time for which a router that took over keeps the duty, in milliseconds. The watchers may be cut off for as long. */
+const TAKE_OVER_TIME_MS = 5000
+
+/** Rendezvous-hashing key that orders the zones, and the routers of each. */
+const DUTY_KEY = 'store-watch'
+
+/**
+ * Returns the position of a router in the order in which the routers of a fleet watch the store, from 0: the first of each availability zone,
+ * then the second of each, and so on.
+ */
+export function watchRank (self: StoreWatcher, others: readonly StoreWatcher[]): number {
+  const zoneOrder = new Map(hashing.rendezvousOrder([...new Set([self, ...others].map((router) => router.availabilityZone))], DUTY_KEY, (zone) => zone).map((zone, index) => [zone, index]))
+  const countByZone = new Map<string, number>()
+  const ranked = hashing.rendezvousOrder([self, ...others], DUTY_KEY, (router) => router.name).map((router) => {
+    const rankInZone = countByZone.get(router.availabilityZone) ?? 0
+    countByZone.set(router.availabilityZone, rankInZone + 1)
+    return { router, rankInZone, zone: zoneOrder.get(router.availabilityZone) ?? 0 }
+  })
+  ranked.sort((left, right) => left.rankInZone - right.rankInZone || left.zone - right.zone)
+  return ranked.findIndex(({ router }) => router === self)
+}
 
 /**
- * Returns true if a router has to watch the store itself. In a large fleet, the calls to the store would grow with the
- * number of routers, so only a few in each zone watch it, and the others receive changes from them. A watcher that
- * cannot reach the store is replaced by the next router in rendezvous order.
+ * Decides whether a router of a large fleet watches the store. Calls to the store would grow with the fleet if all did, so a few watch, and the
+ * others receive the changes from them, together with the age of what is known. A router whose knowledge has become old watches too: the
+ * watchers may all have ended or be cut off.
  */
-export function hasWatchDuty (self: StoreWatcher, others: readonly StoreWatcher[]): boolean {
-  if (others.length < fleetSize.MAXIMUM_SMALL_FLEET_SIZE) return true
-  const connected = others.filter((other) => other.availabilityZone === self.availabilityZone && other.storeSilenceMs <= STORE_UNREACHABLE_AFTER_MS)
-  const order = hashing.rendezvousOrder([self, ...connected], self.availabilityZone, (watcher) => watcher.name)
-  return order.indexOf(self) < WATCHERS_PER_ZONE
+export class WatchDuty {
+  #takenOverAt = -Infinity
+
+  /** Returns true if the router at this position watches. `knowledgeAgeMs` is the time since what it knows was current. */
+  isDue (rank: number, knowledgeAgeMs: number, nowMs: number): boolean {
+    if (rank < WATCHERS) return true
+    if (knowledgeAgeMs > TAKE_OVER_AGE_MS + (rank - WATCHERS) * TAKE_OVER_DELAY_PER_ROUTER_MS) this.#takenOverAt = nowMs
+    return nowMs - this.#takenOverAt < TAKE_OVER_TIME_MS
+  }
 }
--- a/packages/decisions/test/placement.test.ts
+++ b/packages/decisions/test/placement.test.ts
@@ -4,7 +4,6 @@
 import * as chai from 'chai'
 import * as placement from '../src/placement.js'
 import * as targetBoard from '../src/target-board.js'
-import * as watchDuty from '../src/watch-duty.js'
 import * as retryAllowance from '../src/retry-allowance.js'
 
 const { expect } = chai
@@ -140,20 +139,3 @@
     expect(allowance.tryConsumeRetry('s', 8, 10_001)).to.equal(true)
   })
 })
-
-describe('store watch duty', () => {
-  const fleet = (count: number, storeSilenceMs = 0): watchDuty.StoreWatcher[] => Array.from({ length: count }, (_value, index) => ({ name: `host-${index}`, availabilityZone: index % 2 === 0 ? 'a' : 'b', storeSilenceMs }))
-  const watcherNames = (members: watchDuty.StoreWatcher[]): string[] => members.filter((self) => watchDuty.hasWatchDuty(self, members.filter((member) => member !== self))).map((member) => member.name)
-
-  it('falls to all routers of a small fleet', () => { expect(watcherNames(fleet(8))).to.have.length(8) })
-
-  it('falls to three routers per zone of a large fleet', () => { expect(watcherNames(fleet(60))).to.have.length(6) })
-
-  it('moves from watchers that cannot reach the store to other routers', () => {
-    const members = fleet(60)
-    const first = watcherNames(members)
-    for (const member of members) member.storeSilenceMs = first.includes(member.name) ? 20_000 : 0
-    const replacements = watcherNames(members).filter((name) => !first.includes(name))
-    expect(replacements).to.have.length(6)
-  })
-})
--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -36,6 +36,8 @@
 export class FleetExchange {
   readonly #options: FleetExchangeOptions
   #agreementConfirmedAt = -Infinity
+  /** Time as of which other gateways confirmed that the agreement and the targets known here are the newest. */
+  #knowledgeConfirmedAt = -Infinity
   #workSummedAt = -Infinity
   /** Versions of the agreement that other gateways have reported before they were in force here, in ascending order. */
   #newerVersions: Array<{ version: number, reportedAt: number }> = []
@@ -54,6 +56,17 @@
     return Math.min(this.#options.configuration.silenceMs(), this.#options.clock.now() - this.#agreementConfirmedAt)
   }
 
+  /** Time since the agreement and the targets known here were current, in milliseconds, by the store or by another gateway. */
+  knowledgeAgeMs (): number {
+    const { clock, configuration, targets } = this.#options
+    return Math.min(Math.max(configuration.silenceMs(), targets.silenceMs()), clock.now() - this.#knowledgeConfirmedAt)
+  }
+
+  /** Returns true if this gateway has to watch the store itself. */
+  hasWatchDuty (): boolean {
+    return this.#options.view.hasWatchDuty(this.knowledgeAgeMs())
+  }
+
   /**
    * Returns true if another gateway has had a newer agreement for so long that requests must not be handled by the one in force here. An
    * overloaded gateway that rejects them gets the time to fetch it.
@@ -88,7 +101,7 @@
    * none yet or doesn't watch the store itself.
    */
   applyHeartbeat (heartbeat: routers.gatewayMessages.GatewayHeartbeat): void {
-    const { board, clock, configuration, peers, promptParts, targetLimits, targets, view } = this.#options
+    const { board, clock, configuration, peers, promptParts, targetLimits, targets } = this.#options
     const now = clock.now()
     promptParts.merge(heartbeat.promptParts, now)
     targetLimits.merge(heartbeat.targetLimits, now)
@@ -98,11 +111,17 @@
       board.setOtherRoutersWork(peers.othersWork(now))
     }
     if (heartbeat.agreementVersion === configuration.version) this.confirmAgreement(now - heartbeat.sender.storeSilenceMs)
+    this.#confirmKnowledge(heartbeat, now)
     this.#recordReportedVersion(heartbeat.agreementVersion, now)
-    const needsTargets = heartbeat.targetsRevision > targets.changeRevision && (targets.changeRevision === 0 || !view.hasWatchDuty())
+    const needsTargets = heartbeat.targetsRevision > targets.changeRevision && (targets.changeRevision === 0 || !this.hasWatchDuty())
     if (heartbeat.agreementVersion > configuration.version || needsTargets) this.#options.fetchState(heartbeat.sender.peerAddress)
   }
 
+  #confirmKnowledge ({ sender, agreementVersion, targetsRevision }: routers.gatewayMessages.GatewayHeartbeat, now: number): void {
+    const isKnownHere = agreementVersion <= this.#options.configuration.version && targetsRevision <= this.#options.targets.changeRevision
+    if (sender.knowledgeAgeMs > 0 && isKnownHere) this.#knowledgeConfirmedAt = Math.max(this.#knowledgeConfirmedAt, now - sender.knowledgeAgeMs)
+  }
+
   #recordReportedVersion (version: number, now: number): void {
     const newestKnown = this.#newerVersions.at(-1)?.version ?? 0
     if (version > Math.max(newestKnown, this.#options.configuration.version)) this.#newerVersions.push({ version, reportedAt: now })
--- a/packages/gateway/src/fleet-view.ts
+++ b/packages/gateway/src/fleet-view.ts
@@ -3,15 +3,18 @@
 import type * as peerTables from './peer-table.js'
 import type * as tokenTypes from './token-types.js'
 
-/** Time for which the choice of holders is cached, in milliseconds: the interval between two rounds of heartbeats. */
-const HOLDERS_CACHE_MS = 300
+/** Time for which the view of a large fleet is cached, in milliseconds: the interval between two rounds of heartbeats. */
+const LARGE_FLEET_CACHE_MS = 300
 
-/** The gateways of a large fleet that draw tokens, and the accounts whose holders were looked up among them. */
-interface DrawingGateways {
+/** A large fleet as of one moment, and what was worked out from it since. */
+interface LargeFleet {
   selectedAt: number
-  names: string[]
+  /** Gateways that draw tokens. */
+  drawingGateways: string[]
   heartbeats: Map<string, routers.gatewayMessages.GatewayHeartbeat>
   holders: Map<string, tokenTypes.AccountHolders>
+  /** Position of this gateway in the order of those that watch the store; undefined before it is asked for. */
+  watchRank: number | undefined
 }
 
 /** The fleet as this gateway sees it by the heartbeats that it received. */
@@ -19,7 +22,8 @@
   readonly #self: decisions.tokenHolders.HolderCandidate
   readonly #peers: peerTables.PeerTable
   readonly #clock: decisions.clock.Clock
-  #drawing: DrawingGateways | undefined
+  readonly #watchDuty = new decisions.watchDuty.WatchDuty()
+  #largeFleet: LargeFleet | undefined
 
   constructor (self: decisions.tokenHolders.HolderCandidate, peers: peerTables.PeerTable, clock: decisions.clock.Clock) {
     this.#self = self
@@ -56,45 +60,51 @@
     return (1 + live) / (1 + Math.max(live, this.#peers.knownGateways()))
   }
 
-  /** Returns true if this gateway has to watch the store itself instead of fetching changes from other gateways. */
-  hasWatchDuty (): boolean {
-    const others = this.#live().map(({ sender }) => ({ name: sender.host, availabilityZone: sender.availabilityZone, storeSilenceMs: sender.storeSilenceMs }))
-    return decisions.watchDuty.hasWatchDuty({ ...this.#self, storeSilenceMs: 0 }, others)
+  /**
+   * Returns true if this gateway has to watch the store itself instead of fetching changes from other gateways. `knowledgeAgeMs` is the time
+   * since what it knows was current.
+   */
+  hasWatchDuty (knowledgeAgeMs: number): boolean {
+    const fleet = this.#currentLargeFleet()
+    if (fleet === undefined) return true
+    fleet.watchRank ??= decisions.watchDuty.watchRank(this.#self, [...fleet.heartbeats.values()].map(({ sender }) => ({ name: sender.host, availabilityZone: sender.availabilityZone })))
+    return this.#watchDuty.isDue(fleet.watchRank, knowledgeAgeMs, this.#clock.now())
   }
 
   /**
    * Returns this gateway's role for an account and the other gateways that draw the account's tokens. In a large fleet the answer is cached
-   * for `HOLDERS_CACHE_MS`, as ordering all gateways takes time.
+   * for `LARGE_FLEET_CACHE_MS`, as ordering all gateways takes time.
    */
   holders (account: string): tokenTypes.AccountHolders {
-    const drawing = this.#drawingGateways()
-    if (drawing !== undefined) return holdersAmong(drawing, account, this.#self.name)
+    const fleet = this.#currentLargeFleet()
+    if (fleet !== undefined) return holdersAmong(fleet, account, this.#self.name)
     const otherHolders = this.#remaining().map(({ sender, freeTokens, spending }) => ({ peerAddress: sender.peerAddress, freeTokens: freeTokens[account] ?? 0, spending: spending[account] ?? 0 }))
     return { role: decisions.tokenHolders.TokenRole.peer, otherHolders }
   }
 
   /** Returns the peer address of the gateway that writes the token page for all; undefined if that is this one, or every gateway of a small fleet. */
   pageWriter (): string | undefined {
-    const drawing = this.#drawingGateways()
-    return drawing === undefined ? undefined : drawing.heartbeats.get(decisions.tokenHolders.selectPageWriter(drawing.names))?.sender.peerAddress
+    const fleet = this.#currentLargeFleet()
+    return fleet === undefined ? undefined : fleet.heartbeats.get(decisions.tokenHolders.selectPageWriter(fleet.drawingGateways))?.sender.peerAddress
   }
 
-  /** Returns the gateways of a large fleet that draw tokens; undefined in a small one, where all do. */
-  #drawingGateways (): DrawingGateways | undefined {
+  /** Returns the fleet as of a moment ago if it is large; undefined if it is small. */
+  #currentLargeFleet (): LargeFleet | undefined {
     const now = this.#clock.now()
-    if (this.#drawing !== undefined && now - this.#drawing.selectedAt < HOLDERS_CACHE_MS) return this.#drawing
+    if (this.#largeFleet !== undefined && now - this.#largeFleet.selectedAt < LARGE_FLEET_CACHE_MS) return this.#largeFleet
     const others = this.#remaining()
-    this.#drawing = 1 + others.length <= decisions.fleetSize.MAXIMUM_SMALL_FLEET_SIZE ? undefined : this.#selectDrawing(others, now)
-    return this.#drawing
+    this.#largeFleet = 1 + others.length <= decisions.fleetSize.MAXIMUM_SMALL_FLEET_SIZE ? undefined : this.#viewLargeFleet(others, now)
+    return this.#largeFleet
   }
 
-  #selectDrawing (others: routers.gatewayMessages.GatewayHeartbeat[], now: number): DrawingGateways {
+  #viewLargeFleet (others: routers.gatewayMessages.GatewayHeartbeat[], now: number): LargeFleet {
     const candidates = others.map(({ sender }) => ({ name: sender.host, availabilityZone: sender.availabilityZone, processorShare: sender.processorShare }))
     return {
       selectedAt: now,
-      names: decisions.tokenHolders.selectDrawingRouters([this.#self, ...candidates]),
+      drawingGateways: decisions.tokenHolders.selectDrawingRouters([this.#self, ...candidates]),
       heartbeats: new Map(others.map((heartbeat) => [heartbeat.sender.host, heartbeat])),
-      holders: new Map()
+      holders: new Map(),
+      watchRank: undefined
     }
   }
 
@@ -108,10 +118,10 @@
   }
 }
 
-function holdersAmong ({ names, heartbeats, holders }: DrawingGateways, account: string, self: string): tokenTypes.AccountHolders {
+function holdersAmong ({ drawingGateways, heartbeats, holders }: LargeFleet, account: string, self: string): tokenTypes.AccountHolders {
   let known = holders.get(account)
   if (known === undefined) {
-    const { role, othersToAsk } = decisions.tokenHolders.assignTokenRole(account, self, names)
+    const { role, othersToAsk } = decisions.tokenHolders.assignTokenRole(account, self, drawingGateways)
     const others = othersToAsk.map((name) => heartbeats.get(name)).filter((heartbeat) => heartbeat !== undefined)
     known = { role, otherHolders: others.map(({ sender }) => ({ peerAddress: sender.peerAddress, freeTokens: undefined, spending: undefined })) }
     holders.set(account, known)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -48,7 +48,7 @@
 const MAXIMUM_REPORTED_SILENCE_MS = 1_000_000
 
 /** Interval at which a gateway without watch duty checks whether it has to watch the store, in milliseconds. */
-const WATCH_DUTY_CHECK_INTERVAL_MS = 1000
+const WATCH_DUTY_CHECK_INTERVAL_MS = 300
 
 export interface GatewayOptions {
   settings: adapter.settingsFile.FleetSettings
@@ -112,7 +112,7 @@
     })
     this.#retryAllowance = new decisions.retryAllowance.RetryAllowance(options.settings.retryBudget)
     this.#loadMeter = new loads.LoadMeter(this.#clock, options.settings.processorShare)
-    const pauseMs = (): number => this.#fleetView.hasWatchDuty() ? 0 : WATCH_DUTY_CHECK_INTERVAL_MS
+    const pauseMs = (): number => this.#fleetExchange.hasWatchDuty() ? 0 : WATCH_DUTY_CHECK_INTERVAL_MS
     const watchOptions = { store: this.#store, clock: this.#clock, logger: this.#logger, pauseMs }
     this.#configurationWatch = new configurations.ConfigurationWatch(watchOptions, (table) => { this.#applyAgreement(table) })
     this.#targetWatch = new targetWatches.TargetWatch(watchOptions, this.#targetBoard)
@@ -227,6 +227,7 @@
       ready: this.#isReady(),
       load: this.#loadMeter.load(),
       processorShare: this.#settings.processorShare,
+      knowledgeAgeMs: Math.max(1, Math.round(Math.min(this.#fleetExchange.knowledgeAgeMs(), MAXIMUM_REPORTED_SILENCE_MS))),
       storeSilenceMs: Math.round(Math.min(this.#configurationWatch.silenceMs(), MAXIMUM_REPORTED_SILENCE_MS))
     }
   }
--- a/packages/routers/src/gateway-messages.ts
+++ b/packages/routers/src/gateway-messages.ts
@@ -16,6 +16,8 @@
   storeSilenceMs: number
   /** Processor time that the gateway may use, as a multiple of one core. */
   processorShare: number
+  /** Time since what the gateway knows of the agreement and the targets was current, in milliseconds; 0 if the gateway doesn't say. */
+  knowledgeAgeMs: number
 }
 
 /** A live gateway known to the sender from heartbeats, its own or those of other gateways (gossip). */
