Learn the fleet before acting for it

Store calls of the first seconds: a gateway that has just started has heard few others, takes the fleet for a small one, and so watches the store and draws tokens itself; at 195 gateways it took 15 s until each had heard all others, at two heartbeats a round.

Change: soon after its start a gateway counts the addresses that it knows, not the gateways that it has heard. It sends each unheard one a heartbeat, up to 24 a round and three to each, and neither watches nor draws ahead of demand until four fifths have answered, for 5 s at most. Small fleets work as before.

--- a/packages/gateway/src/fleet-view.ts
+++ b/packages/gateway/src/fleet-view.ts
@@ -22,13 +22,29 @@
   readonly #self: decisions.tokenHolders.HolderCandidate
   readonly #peers: peerTables.PeerTable
   readonly #clock: decisions.clock.Clock
+  readonly #startedAt: number
   readonly #watchDuty = new decisions.watchDuty.WatchDuty()
   #largeFleet: LargeFleet | undefined
+  #hasKnownFleet = false
 
   constructor (self: decisions.tokenHolders.HolderCandidate, peers: peerTables.PeerTable, clock: decisions.clock.Clock) {
     this.#self = self
     this.#peers = peers
     this.#clock = clock
+    this.#startedAt = clock.now()
+  }
+
+  /** Returns false while this gateway has not heard most gateways of a large fleet, so that it can't tell which of them acts for the others. */
+  isFleetKnown (): boolean {
+    if (this.#hasKnownFleet) return true
+    const discovery = this.#discovery()
+    this.#hasKnownFleet = decisions.fleetSize.isFleetKnown(discovery)
+    return this.#hasKnownFleet || !decisions.fleetSize.isLargeFleet(discovery)
+  }
+
+  #discovery (): decisions.fleetSize.Discovery {
+    const now = this.#clock.now()
+    return { uptimeMs: now - this.#startedAt, ...this.#peers.discovered(now) }
   }
 
   /** Returns the number of live gateways, this one included. */
@@ -65,6 +81,7 @@
    * since what it knows was current.
    */
   hasWatchDuty (knowledgeAgeMs: number): boolean {
+    if (!this.isFleetKnown()) return false
     const fleet = this.#currentLargeFleet()
     if (fleet === undefined) return true
     fleet.watchRank ??= decisions.watchDuty.watchRank(this.#self, [...fleet.heartbeats.values()].map(({ sender }) => ({ name: sender.host, availabilityZone: sender.availabilityZone })))
@@ -93,7 +110,7 @@
     const now = this.#clock.now()
     if (this.#largeFleet !== undefined && now - this.#largeFleet.selectedAt < LARGE_FLEET_CACHE_MS) return this.#largeFleet
     const others = this.#remaining()
-    this.#largeFleet = 1 + others.length <= decisions.fleetSize.MAXIMUM_SMALL_FLEET_SIZE ? undefined : this.#viewLargeFleet(others, now)
+    this.#largeFleet = decisions.fleetSize.isLargeFleet(this.#discovery()) ? this.#viewLargeFleet(others, now) : undefined
     return this.#largeFleet
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -271,6 +271,7 @@
       random: this.#random,
       logger: this.#logger,
       prepaidTotals: () => this.#prepaidTotals(),
+      isFleetKnown: () => this.#fleetView.isFleetKnown(),
       holders: (account) => this.#fleetView.holders(account),
       requestTransfer: async (peerAddress, account, tokens) => await this.#peerTask.requestTransfer(peerAddress, account, tokens),
       hasLateTransfer: (account) => this.#peerTask.hasLateTransfer(account),
--- a/packages/gateway/src/peer-table.ts
+++ b/packages/gateway/src/peer-table.ts
@@ -16,6 +16,9 @@
 /** Age of a heartbeat up to which its requests in flight are counted, in milliseconds. Most requests take longer, so the count still holds. */
 const MAXIMUM_WORK_AGE_MS = 1500
 
+/** Heartbeats that ask a gateway for its first one. Its address may be that of a gateway that has ended. */
+const MAXIMUM_INTRODUCTIONS = 3
+
 /** Gateways whose last sign of life one heartbeat passes on. */
 const HEARD_GATEWAYS_PER_HEARTBEAT = 24
 
@@ -27,6 +30,8 @@
   heartbeatReceivedAt: number
   /** It was reported as live by `recordHeartbeat`, and not as silent by `takeNewlySilent` since. */
   isReportedLive: boolean
+  /** Heartbeats sent to it before its first one arrived. */
+  introductions: number
 }
 
 /** A gateway that is suspected to have failed. */
@@ -48,7 +53,7 @@
   /** Adds an address at which a gateway may be listening. `liveHeartbeats` omits it until its first heartbeat. */
   addAddress (peerAddress: string, now: number): void {
     if (peerAddress === this.#self || this.#peers.has(peerAddress)) return
-    this.#peers.set(peerAddress, { heartbeat: undefined, lastSeenAt: now - SUSPECT_AFTER_MS, heartbeatReceivedAt: -Infinity, isReportedLive: false })
+    this.#peers.set(peerAddress, { heartbeat: undefined, lastSeenAt: now - SUSPECT_AFTER_MS, heartbeatReceivedAt: -Infinity, isReportedLive: false, introductions: 0 })
   }
 
   /**
@@ -61,7 +66,7 @@
     const known = this.#peers.get(peerAddress)
     if (known?.heartbeat !== undefined && isOutOfOrder(heartbeat, known.heartbeat)) return false
     const wasLive = known !== undefined && known.isReportedLive && this.#isLive(known, now)
-    this.#peers.set(peerAddress, { heartbeat, lastSeenAt: now, heartbeatReceivedAt: now, isReportedLive: true })
+    this.#peers.set(peerAddress, { heartbeat, lastSeenAt: now, heartbeatReceivedAt: now, isReportedLive: true, introductions: 0 })
     for (const heard of heartbeat.heard) {
       this.addAddress(heard.peerAddress, now)
       const peer = this.#peers.get(heard.peerAddress)
@@ -99,6 +104,21 @@
     return silent
   }
 
+  /** Returns gateways that have not been heard yet, to send them a heartbeat. Leaves out those that have had some without an answer. */
+  takeUnheard (count: number): string[] {
+    const unheard = [...this.#peers].filter(([, peer]) => peer.heartbeat === undefined && peer.introductions < MAXIMUM_INTRODUCTIONS).slice(0, count)
+    for (const [, peer] of unheard) peer.introductions += 1
+    return unheard.map(([address]) => address)
+  }
+
+  /** Returns the numbers of gateways that have been heard, of those that are live, and of addresses at which one was heard or may still be. */
+  discovered (now: number): { addresses: number, heard: number, live: number } {
+    const peers = [...this.#peers.values()]
+    const heard = peers.filter(({ heartbeat }) => heartbeat !== undefined)
+    const unheard = peers.filter(({ heartbeat, introductions }) => heartbeat === undefined && introductions < MAXIMUM_INTRODUCTIONS)
+    return { addresses: heard.length + unheard.length, heard: heard.length, live: heard.filter((peer) => this.#isLive(peer, now)).length }
+  }
+
   /** Removes gateways that were silent for long, and returns the addresses of the others. */
   pruneAndListAddresses (now: number): string[] {
     for (const [address, peer] of this.#peers) {
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -13,6 +13,9 @@
 /** Gateways that get a heartbeat in one round of a large fleet. In a small one all do. */
 const HEARTBEATS_PER_ROUND = 2
 
+/** Gateways not heard yet that get a heartbeat in one round. */
+const INTRODUCTIONS_PER_ROUND = 24
+
 /** Heartbeats that announce a change to each gateway, as datagrams may be lost, and the pause between them, in milliseconds. */
 const ANNOUNCEMENT_REPEATS = 3
 const ANNOUNCEMENT_PAUSE_MS = 100
@@ -261,7 +264,7 @@
   #nextRoundAddresses (): string[] {
     const addresses = this.#options.table.pruneAndListAddresses(this.#options.clock.now())
     if (addresses.length <= decisions.fleetSize.MAXIMUM_SMALL_FLEET_SIZE) return addresses
-    const round: string[] = []
+    const round = this.#options.table.takeUnheard(INTRODUCTIONS_PER_ROUND)
     for (let count = 0; count < HEARTBEATS_PER_ROUND; count++) {
       round.push(addresses[this.#nextPeerIndex % addresses.length])
       this.#nextPeerIndex += 1
--- a/packages/gateway/src/token-allocator.ts
+++ b/packages/gateway/src/token-allocator.ts
@@ -159,7 +159,7 @@
    */
   async rebalance (): Promise<void> {
     const totals = this.#options.prepaidTotals()
-    if (totals === undefined || this.#isClosing) return
+    if (totals === undefined || this.#isClosing || !this.#options.isFleetKnown()) return
     const accounts = Object.keys(totals.totals)
     const isBorrowed = (account: string): boolean => this.#isBorrowed(account)
     await Promise.all([
--- a/packages/gateway/src/token-estimator.ts
+++ b/packages/gateway/src/token-estimator.ts
@@ -37,6 +37,7 @@
       if (this.#pool.idleSeconds(account, this.#seconds()) > BORROWER_IDLE_SECONDS) return 0
       return Math.min(this.#pool.freeTokens(account), this.#pool.expectedSpending(account, BORROWER_KEEPS_SECONDS, this.#seconds()))
     }
+    if (!this.#options.isFleetKnown()) return this.#pool.freeTokens(account)
     return this.#pool.desiredLevel(account, {
       remainingOnPage: this.#options.page.remaining(account),
       freeElsewhere: this.freeElsewhere(account),
--- a/packages/gateway/src/token-types.ts
+++ b/packages/gateway/src/token-types.ts
@@ -31,6 +31,8 @@
   logger: runtime.logging.Logger
   /** Prepaid totals of the agreement in force. Undefined if no agreement with client accounts is in force. */
   prepaidTotals: () => pageClients.PrepaidTotals | undefined
+  /** Returns false while this gateway has not heard most gateways of a large fleet, so that it can't tell which one holds an account's tokens. */
+  isFleetKnown: () => boolean
   /** Returns the gateways that draw the account's tokens from the token page. */
   holders: (account: string) => AccountHolders
   /** Requests tokens from another gateway. Resolves to undefined if it doesn't answer in time. */
--- a/packages/gateway/test/budget-load.test.ts
+++ b/packages/gateway/test/budget-load.test.ts
@@ -142,6 +142,7 @@
       random: new decisions.random.SeededRandom(index),
       logger,
       prepaidTotals: totals,
+      isFleetKnown: () => true,
       holders: (account) => this.#accountHolders(account, index),
       requestTransfer: async (peerAddress, account, tokens) => await this.#gateways[Number(peerAddress)].task.handleTransfer({ transferId: '', account, tokens, asker: String(index) }),
       hasLateTransfer: () => false,
--- a/packages/gateway/test/peer-table.test.ts
+++ b/packages/gateway/test/peer-table.test.ts
@@ -56,4 +56,14 @@
     table.updateFreeTokens(OTHER, 'depot', 0)
     expect(table.liveHeartbeats(10)[0].freeTokens).to.deep.equal({ depot: 0 })
   })
+
+  it('introduces itself to each gateway that it has not heard, and gives up addresses that do not answer', () => {
+    const table = new tables.PeerTable(SELF)
+    for (const port of [10, 11, 12]) table.addAddress(`10.0.0.9:${port}`, 0)
+    table.recordHeartbeat(heartbeat(1), 0)
+    expect(table.takeUnheard(2)).to.deep.equal(['10.0.0.9:10', '10.0.0.9:11'])
+    expect(table.discovered(0)).to.deep.equal({ addresses: 4, heard: 1, live: 1 })
+    while (table.takeUnheard(3).length > 0);
+    expect(table.discovered(0)).to.deep.equal({ addresses: 1, heard: 1, live: 1 })
+  })
 })
--- a/packages/gateway/test/token-allocator.test.ts
+++ b/packages/gateway/test/token-allocator.test.ts
@@ -38,6 +38,7 @@
       policy: tokenAllocators.POOL_POLICY,
       page: new tokenPageAccesses.TokenPageAccess({ pageClient: pages, pool: this.pool, clock, random: new decisions.random.SeededRandom(3), pageWriter: () => undefined, requestDraw: async () => undefined }),
       random: new decisions.random.SeededRandom(1),
+      isFleetKnown: () => true,
       holders: (account) => ({ role: account === 'drawn' ? TokenRole.holder : TokenRole.borrower, otherHolders: [{ peerAddress: HOLDER, freeTokens: undefined, spending: undefined }] }),
       requestTransfer: async (_peerAddress, _account, tokens) => {
         const given = Math.min(held, tokens)
--- a/packages/gateway/test/token-page-conflicts.test.ts
+++ b/packages/gateway/test/token-page-conflicts.test.ts
@@ -173,6 +173,7 @@
           return await this.#gateways[Number(peerAddress)].task.handleDraw(request)
         }
       }),
+      isFleetKnown: () => true,
       holders: (account) => this.#holders(account, index),
       requestTransfer: async (peerAddress, account, tokens) => {
         await this.clock.sleep(GATEWAY_ANSWER_MS)
