Log lost and regained gateways in one line for all

Now it writes at most one line of each kind in a round of heartbeats, with the count and up to eight names.

--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -2,6 +2,7 @@
 import * as routers from '@acaciaweir/routers'
 import type * as runtime from '@acaciaweir/runtime'
 import * as crypto from 'node:crypto'
+import * as membershipLogs from './membership-log.js'
 import * as tables from './peer-table.js'
 
 type Calls = routers.gatewayMessages.GatewayCalls
@@ -82,6 +83,7 @@
   readonly #options: PeerTaskOptions
   readonly #client = new routers.peerClient.PeerClient<Calls>(routers.peerDefinition.gatewaysService)
   readonly #server: routers.peerServer.PeerServer<Calls>
+  readonly #membershipLog: membershipLogs.MembershipLog
   readonly #heartbeats: routers.heartbeatSocket.HeartbeatSocket
   readonly #stop = new AbortController()
   /** Replies to recent token transfers, by transfer id. */
@@ -98,6 +100,7 @@
   constructor (options: PeerTaskOptions) {
     super()
     this.#options = options
+    this.#membershipLog = new membershipLogs.MembershipLog(options.logger)
     this.#server = new routers.peerServer.PeerServer<Calls>(this, routers.peerDefinition.gatewaysService)
     this.#heartbeats = new routers.heartbeatSocket.HeartbeatSocket({
       onHeartbeat: (heartbeat) => { this.#receiveHeartbeat(heartbeat) },
@@ -253,9 +256,8 @@
 
   async #run (): Promise<void> {
     while (!this.#stop.signal.aborted) {
-      for (const { sender, silentMs } of this.#options.table.takeNewlySilent(this.#options.clock.now())) {
-        this.#options.logger.warn({ event: 'dependency-lost', dependency: 'gateway', peer: sender.peerAddress, incarnation: sender.incarnation, leaving: sender.leaving, silentMs })
-      }
+      const silent = this.#options.table.takeNewlySilent(this.#options.clock.now())
+      this.#membershipLog.write(silent.map(({ sender, silentMs }) => ({ incarnation: sender.incarnation, silentMs })))
       this.#sendHeartbeat(this.#nextRoundAddresses(), true)
       await this.#options.clock.sleep(HEARTBEAT_INTERVAL_MS, this.#stop.signal)
     }
@@ -289,7 +291,7 @@
   #receiveHeartbeat (heartbeat: Heartbeat): void {
     if (this.#stop.signal.aborted) return
     const isRegained = this.#options.table.recordHeartbeat(heartbeat, this.#options.clock.now())
-    if (isRegained) this.#options.logger.info({ event: 'dependency-regained', dependency: 'gateway', peer: heartbeat.sender.peerAddress, incarnation: heartbeat.sender.incarnation })
+    if (isRegained) this.#membershipLog.recordRegained(heartbeat.sender.incarnation)
     this.#options.onHeartbeat(heartbeat)
     if (heartbeat.asksForAnswer) this.#sendHeartbeat([heartbeat.sender.peerAddress], false)
   }
