Hold up to a tenth of the total of an account near its end

Callers of an account near its end saw 503 in an outage of the store though the page had the rest: gateways hold at most three tenths of what is unspent, so most of the last tokens lay on the page.

Change: the most that is held is three tenths of what is unspent, or a tenth of the total where that is more, and still no more than the horizon spends. The most that a loss of all power costs is what it was; near the end of an account the rest is used up within the horizon anyway.

--- a/packages/decisions/src/token-pool.ts
+++ b/packages/decisions/src/token-pool.ts
@@ -6,6 +6,11 @@
   maximumPooledShare: number
   /** Smallest fraction of an account's unspent tokens that all routers together hold. */
   minimumPooledShare: number
+  /**
+   * Fraction of an account's prepaid total that all routers together may hold ahead of demand, also where that is more than the largest
+   * fraction of the unspent tokens. An account near its end is used up within the horizon anyway.
+   */
+  pooledShareOfTotal: number
 }
 
 /** State of an account outside a router's own pool. */
@@ -16,6 +21,8 @@
   freeElsewhere: number
   /** Spending of the other routers, in tokens per second. */
   spendingElsewhere: number
+  /** Prepaid total of the account. */
+  total: number
   /** Number of routers that hold tokens of the account, including this one. */
   holderCount: number
 }
@@ -133,14 +140,15 @@
 
   /**
    * Returns the number of free tokens to keep in the pool: this router's part of the tokens that all routers hold together.
-   * The total covers the spending of `policy.horizonSeconds`, bounded by the two shares of the unspent tokens. The part is a
+   * The total covers the spending of `policy.horizonSeconds`, bounded by the shares of the unspent tokens and of the prepaid total. The part is a
    * weighted mean of an even split and a split by spending.
    */
   desiredLevel (account: string, remote: RemoteAccountState, policy: PoolPolicy, nowSeconds: number): number {
     const ownRate = this.spendingRate(account, nowSeconds)
     const totalRate = ownRate + remote.spendingElsewhere
     const unspent = Math.max(0, remote.remainingOnPage + this.freeTokens(account) + remote.freeElsewhere)
-    const totalLevel = Math.max(unspent * policy.minimumPooledShare, Math.min(totalRate * policy.horizonSeconds, unspent * policy.maximumPooledShare))
+    const maximumLevel = Math.max(unspent * policy.maximumPooledShare, Math.min(unspent, remote.total * policy.pooledShareOfTotal))
+    const totalLevel = Math.max(unspent * policy.minimumPooledShare, Math.min(totalRate * policy.horizonSeconds, maximumLevel))
     const evenShare = 1 / Math.max(1, remote.holderCount)
     const evenWeight = this.#evenWeight(account, totalRate, nowSeconds)
     return Math.floor(totalLevel * (totalRate > 0 ? evenWeight * evenShare + (1 - evenWeight) * ownRate / totalRate : evenShare))
--- a/packages/decisions/test/tokens.test.ts
+++ b/packages/decisions/test/tokens.test.ts
@@ -36,7 +36,7 @@
 })
 
 describe('token pool', () => {
-  const policy: tokenPool.PoolPolicy = { horizonSeconds: 10, maximumPooledShare: 0.5, minimumPooledShare: 0.1 }
+  const policy: tokenPool.PoolPolicy = { horizonSeconds: 10, maximumPooledShare: 0.5, minimumPooledShare: 0.1, pooledShareOfTotal: 0 }
 
   it('refuses a reservation that does not fit, and frees the reserved tokens that were not spent', () => {
     const pool = new tokenPool.TokenPool()
@@ -66,7 +66,7 @@
   for (const { title, spent, remaining, elsewhere, expected } of targetLevelCases) {
     it(title, () => {
       const pool = new tokenPool.TokenPool()
-      const remote: tokenPool.RemoteAccountState = { remainingOnPage: remaining, freeElsewhere: 0, spendingElsewhere: elsewhere, holderCount: 5 }
+      const remote: tokenPool.RemoteAccountState = { total: 2000, remainingOnPage: remaining, freeElsewhere: 0, spendingElsewhere: elsewhere, holderCount: 5 }
       pool.add('depot', spent)
       if (spent > 0) {
         pool.reserve('depot', spent)
@@ -76,9 +76,19 @@
     })
   }
 
+  it('keeps what an almost used up account has left, up to a share of its total', () => {
+    const pool = new tokenPool.TokenPool()
+    pool.reserve('depot', 0)
+    pool.add('depot', 500)
+    pool.reserve('depot', 500)
+    pool.settle('depot', 500, 500, 1)
+    const levelOf = (remainingOnPage: number): number => pool.desiredLevel('depot', { total: 2000, remainingOnPage, freeElsewhere: 0, spendingElsewhere: 0, holderCount: 1 }, { ...policy, pooledShareOfTotal: 0.1 }, 1)
+    expect([levelOf(150), levelOf(300), levelOf(600)]).to.deep.equal([150, 200, 300])
+  })
+
   it('keeps an even part when an account begins to spend at other routers, and reduces it later', () => {
     const pool = new tokenPool.TokenPool()
-    const remote: tokenPool.RemoteAccountState = { remainingOnPage: 1000, freeElsewhere: 0, spendingElsewhere: 1000, holderCount: 5 }
+    const remote: tokenPool.RemoteAccountState = { total: 2000, remainingOnPage: 1000, freeElsewhere: 0, spendingElsewhere: 1000, holderCount: 5 }
     pool.desiredLevel('depot', { ...remote, spendingElsewhere: 0 }, policy, 0)
     expect(pool.desiredLevel('depot', remote, policy, 1)).to.equal(100)
     expect(pool.desiredLevel('depot', remote, policy, 100)).to.equal(25)
@@ -86,7 +96,7 @@
 
   it('keeps little of an account that spent at other routers before this router first observed it', () => {
     const pool = new tokenPool.TokenPool()
-    expect(pool.desiredLevel('depot', { remainingOnPage: 1000, freeElsewhere: 0, spendingElsewhere: 1000, holderCount: 5 }, policy, 1)).to.equal(25)
+    expect(pool.desiredLevel('depot', { total: 2000, remainingOnPage: 1000, freeElsewhere: 0, spendingElsewhere: 1000, holderCount: 5 }, policy, 1)).to.equal(25)
   })
 
   const rebalancingCases: Array<[number, number, boolean]> = [[100, 100, false], [80, 100, false], [60, 100, true], [120, 100, false], [140, 100, true], [0, 0, false], [10, 0, true]]
--- a/packages/gateway/src/token-estimator.ts
+++ b/packages/gateway/src/token-estimator.ts
@@ -39,6 +39,7 @@
     }
     if (!this.#options.isFleetKnown()) return this.#pool.freeTokens(account)
     return this.#pool.desiredLevel(account, {
+      total: this.#options.prepaidTotals()?.totals[account] ?? 0,
       remainingOnPage: this.#options.page.remaining(account),
       freeElsewhere: this.freeElsewhere(account),
       spendingElsewhere: otherHolders.reduce((sum, other) => sum + (other.spending ?? 0), 0),
