Take no negative draws from other gateways, and go on drawing after an unexpected error

Found in review of DrawTokens: a negative number in a message would have lowered what the page records as drawn although no gateway gave tokens up, so that a budget could be overspent; and one write that threw would have made every later draw of the gateway fail.

--- a/packages/gateway/src/draw-batcher.ts
+++ b/packages/gateway/src/draw-batcher.ts
@@ -46,7 +46,7 @@
     await this.#lastWrite
     this.#batch = undefined
     const write = this.#pageClient.ask(draws)
-    this.#lastWrite = write
+    this.#lastWrite = write.catch(() => {})
     return await write
   }
 }
--- a/packages/gateway/src/token-page-access.ts
+++ b/packages/gateway/src/token-page-access.ts
@@ -118,8 +118,9 @@
   /** Draws for another gateway, as the page writer. The tokens leave the pool with the reply. */
   async drawForOther ({ draws, isUrgent }: routers.gatewayMessages.DrawRequest): Promise<routers.gatewayMessages.DrawReply> {
     const { pageClient, pool } = this.#options
-    const wanted = new Map(draws.map(({ account, tokens }) => [account, tokens]))
-    const isQuery = draws.every(({ tokens }) => tokens === 0)
+    // A negative number would return tokens to the page that no gateway gave up.
+    const wanted = new Map(draws.map(({ account, tokens }) => [account, Math.max(0, tokens)]))
+    const isQuery = [...wanted.values()].every((tokens) => tokens === 0)
     const isDone = (isQuery && pageClient.ageMs() <= REPORTED_PAGE_MAXIMUM_AGE_MS) || await this.#batcher.draw(wanted, isUrgent) === pageClients.PageResult.changed
     return {
       isDone,
