Survive a SIGHUP while the program is loading

Cause: the handler was installed after all modules had been loaded and the settings read, which takes seconds on a tenth of a core.

What is left is the start of Node.js itself. The router handles no SIGHUP.

--- a/packages/gateway/src/program.ts
+++ b/packages/gateway/src/program.ts
@@ -13,8 +13,11 @@
 /** Interval at which a settings file that changed without a SIGHUP is detected, in milliseconds. */
 const SETTINGS_FILE_CHECK_INTERVAL_MS = 2000
 
-const ownSettings = readOrExit(() => settings.readSettings(process.argv.slice(2)))
-await run(ownSettings, readOrExit(() => adapter.settingsFile.readSettingsFile(ownSettings.settingsFile)))
+/** Runs a gateway with the settings of the command line, the environment and the settings file. Exits if these are invalid. */
+export async function start (): Promise<void> {
+  const ownSettings = readOrExit(() => settings.readSettings(process.argv.slice(2)))
+  await run(ownSettings, readOrExit(() => adapter.settingsFile.readSettingsFile(ownSettings.settingsFile)))
+}
 
 function readOrExit<Value> (read: () => Value): Value {
   try {
