Hold up to 0.14 of the total of an account near its end

A loss of all power may cost an account 0.14 of its total; a tenth left less than that to an outage.

--- a/packages/gateway/src/token-allocator.ts
+++ b/packages/gateway/src/token-allocator.ts
@@ -31,9 +31,9 @@
 
 /**
  * Pools last through nine seconds without the store. They hold at most three tenths of an account's unspent tokens ahead of demand,
- * or a tenth of its total where that is more, so that most are left to a fleet that lost all power.
+ * or a seventh of its total where that is more, so that most are left to a fleet that lost all power.
  */
-export const POOL_POLICY: decisions.tokenPool.PoolPolicy = { horizonSeconds: 9.5, maximumPooledShare: 0.3, minimumPooledShare: 0.28, pooledShareOfTotal: 0.1 }
+export const POOL_POLICY: decisions.tokenPool.PoolPolicy = { horizonSeconds: 9.5, maximumPooledShare: 0.3, minimumPooledShare: 0.28, pooledShareOfTotal: 0.14 }
 
 /**
  * Reserves tokens for requests: from this gateway's pool, else from other gateways, else from the token page. Owns the pool and keeps
