--- a/packages/gateway/src/token-allocator.ts
+++ b/packages/gateway/src/token-allocator.ts
@@ -31,7 +31,7 @@
 
 /**
  * Pools last through nine seconds without the store. They hold at most three tenths of an account's unspent tokens ahead of demand,
- * or a seventh of its total where that is more, so that most are left to a fleet that lost all power.
+ * or a seventh of its total where that is more, so that the rest is left to a fleet that lost all power.
  */
 export const POOL_POLICY: decisions.tokenPool.PoolPolicy = { horizonSeconds: 9.5, maximumPooledShare: 0.3, minimumPooledShare: 0.28, pooledShareOfTotal: 0.14 }
 
