--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -49,8 +49,7 @@
     const ownHeader = this.hasTrouble ? 'Constructor: Worcester Cooperage' : 'Workshop: Worcester Cooperage'
     const socket = net.connect(this.deployment.gateways[0].settings.callerPort, '127.0.0.1')
     socket.on('error', () => {})
-    socket.end(`GET /certificate/2 HTTP/1.1\r\nHost: ${deployments.ROUTE_HOST}\r\nAttempt-Id: ${attemptId}\r\nApi-Key: ${requests.API_KEY}\r\nDeadline-Remaining-Ms: 1500\r\n${ownHeader}\r\n\r\n`)
-    socket.resume()
+    socket.end(`GET /certificate/2 HTTP/1.1\r\nHost: ${deployments.ROUTE_HOST}\r\nAttempt-Id: ${attemptId}\r\nApi-Key: ${requests.API_KEY}\r\nDeadline-Remaining-Ms: 1500\r\n${ownHeader}\r\n\r\n`, () => { socket.destroy() })
     await new Promise((resolve) => { socket.on('close', resolve) })
     this.record.write('sent-and-left', { attempt: attemptId, ownHeader })
   }
