Keep the process and other requests alive whatever a caller names its headers

Callers saw: 8 of 8 requests in progress lost their connections when a request with a header `constructor`, `__proto__` or the like came and its caller left; the same request got 400 if its caller stayed. Cause: Node's headersDistinct throws on such names, and the admission queue called the step that reads it for the log from setImmediate, where nothing catches an error.

--- a/packages/callers/src/caller-server.ts
+++ b/packages/callers/src/caller-server.ts
@@ -54,7 +54,8 @@
           request.resume()
           resolve()
         },
-        drop: resolve
+        drop: resolve,
+        fail: reject
       })
     })
   }
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -111,20 +111,30 @@
   #enqueue (message: http.IncomingMessage, response: http.ServerResponse): void {
     this.#inProgress += 1
     const arrival = this.#recordArrival(message)
+    const fail = (error: Error): void => { this.#fail(message, response, error) }
     this.#queue.push({
       hasLeft: () => message.socket.destroyed || message.socket.readableEnded,
-      start: () => { void this.#handle(message, response, arrival) },
+      start: () => { this.#handle(message, response, arrival).then(() => { this.#inProgress -= 1 }, fail) },
       reject: () => {
-        this.#inProgress -= 1
         this.#refuse(message, response, { status: 503, reason: 'the gateway is overloaded', retryAfterMs: this.#overloadRetryAfterMs() }, arrival, this.#options.routeTable())
+        this.#inProgress -= 1
       },
       drop: () => {
-        this.#inProgress -= 1
         this.#recordUnstarted(message, arrival)
-      }
+        this.#inProgress -= 1
+      },
+      fail
     })
   }
 
+  /** Ends a request after an error in this process. */
+  #fail (message: http.IncomingMessage, response: http.ServerResponse, error: Error): void {
+    this.#inProgress -= 1
+    this.#options.logger.error({ event: 'request-error', request: adapter.callerRequest.attemptIdForLog(message), reason: error.stack })
+    if (response.headersSent) answers.abortResponse(response)
+    else answers.sendRefusal(response, { status: 500, reason: 'internal error' })
+  }
+
   /** Spreads the retries of the callers that are rejected at the same time. */
   #overloadRetryAfterMs (): number {
     return OVERLOAD_RETRY_AFTER_MS / 2 + this.#options.random.integer(OVERLOAD_RETRY_AFTER_MS)
@@ -133,14 +143,7 @@
   async #handle (message: http.IncomingMessage, response: http.ServerResponse, arrival: calls.Arrival): Promise<void> {
     arrival.queuedMs = this.#options.clock.now() - arrival.at
     if (this.#isLeaving) response.setHeader('connection', 'close')
-    try {
-      await this.#serve(message, response, arrival)
-    } catch (error) {
-      this.#options.logger.error({ event: 'request-error', request: adapter.callerRequest.attemptIdForLog(message), reason: (error as Error).stack })
-      answers.sendRefusal(response, { status: 500, reason: 'internal error' })
-    } finally {
-      this.#inProgress -= 1
-    }
+    await this.#serve(message, response, arrival)
   }
 
   #recordArrival (message: http.IncomingMessage): calls.Arrival {
--- a/packages/runtime/src/admission-queue.ts
+++ b/packages/runtime/src/admission-queue.ts
@@ -28,6 +28,8 @@
   reject: () => void
   /** Ends a request whose caller has left. */
   drop: () => void
+  /** Ends a request for which one of the above has thrown. Must not throw. */
+  fail: (error: Error) => void
 }
 
 interface Entry {
@@ -60,7 +62,7 @@
     return this.#entries.length
   }
 
-  /** Queues a request. Exactly one of its `start`, `reject` and `drop` is called, in a later iteration of the event loop. */
+  /** Queues a request. Exactly one of its `start`, `reject` and `drop` is called, in a later iteration of the event loop, and `fail` if that one throws. */
   push (request: WaitingRequest): void {
     this.#entries.push({ request, queuedAt: this.#options.clock.now(), turn: this.#turn })
     this.#schedule()
@@ -106,7 +108,7 @@
     // A request waits for one poll, which tells whether its caller has left.
     const polled = this.#entries.filter((entry) => entry.turn < this.#turn)
     const unpolled = this.#entries.filter((entry) => entry.turn === this.#turn)
-    while (polled.length > 0 && this.#options.clock.now() - now < TURN_MS) polled.pop()?.request.start()
+    while (polled.length > 0 && this.#options.clock.now() - now < TURN_MS) this.#end(polled.pop(), 'start')
     this.#entries = [...polled, ...unpolled]
   }
 
@@ -114,10 +116,19 @@
     const remaining: Entry[] = []
     for (const entry of this.#entries) {
       if (this.#options.clock.now() - now > TURN_MS / 2) remaining.push(entry)
-      else if (entry.request.hasLeft()) entry.request.drop()
-      else if (now - entry.queuedAt > MAXIMUM_WAIT_MS) entry.request.reject()
+      else if (entry.request.hasLeft()) this.#end(entry, 'drop')
+      else if (now - entry.queuedAt > MAXIMUM_WAIT_MS) this.#end(entry, 'reject')
       else remaining.push(entry)
     }
     this.#entries = remaining
   }
+
+  /** Calls a step of a request. An error ends that request alone: it must neither end the process nor keep others from their turn. */
+  #end (entry: Entry | undefined, step: 'start' | 'reject' | 'drop'): void {
+    try {
+      entry?.request[step]()
+    } catch (error) {
+      entry?.request.fail(error as Error)
+    }
+  }
 }
--- a/packages/runtime/test/admission-queue.test.ts
+++ b/packages/runtime/test/admission-queue.test.ts
@@ -11,13 +11,18 @@
   hasLeft?: boolean
   /** Time for which the start of the request keeps the event loop busy, in milliseconds. */
   busyMs?: number
+  /** Its `start`, `reject` or `drop` throws. */
+  throws?: boolean
 }
 
 const cases: Array<{ name: string, requests: QueuedRequest[], events: string[] }> = [
   { name: 'starts a request', requests: [{ name: 'one' }], events: ['start one'] },
   { name: 'starts the newest request first', requests: [{ name: 'one' }, { name: 'two' }, { name: 'three' }], events: ['start three', 'start two', 'start one'] },
   { name: 'drops a request whose caller has left', requests: [{ name: 'one' }, { name: 'two', hasLeft: true }], events: ['drop two', 'start one'] },
-  { name: 'rejects a request that has waited too long', requests: [{ name: 'one' }, { name: 'two', busyMs: 300 }], events: ['start two', 'reject one'] }
+  { name: 'rejects a request that has waited too long', requests: [{ name: 'one' }, { name: 'two', busyMs: 300 }], events: ['start two', 'reject one'] },
+  { name: 'starts the others where the start of a request throws', requests: [{ name: 'one' }, { name: 'two', throws: true }], events: ['start two', 'fail two', 'start one'] },
+  { name: 'starts the others where a request whose caller has left cannot be dropped', requests: [{ name: 'one' }, { name: 'two', hasLeft: true, throws: true }], events: ['drop two', 'fail two', 'start one'] },
+  { name: 'goes on where a request that has waited too long cannot be rejected', requests: [{ name: 'one', throws: true }, { name: 'two', busyMs: 300 }], events: ['start two', 'reject one', 'fail one'] }
 ]
 
 describe('an admission queue', () => {
@@ -26,14 +31,19 @@
       const queue = new admissionQueues.AdmissionQueue({ clock: new clocks.SystemClock(), dropWaitingConnections: () => {} })
       const seen: string[] = []
       for (const request of requests) {
+        const record = (step: string): void => {
+          seen.push(`${step} ${request.name}`)
+          if (request.throws === true) throw new Error(`${step} failed`)
+        }
         queue.push({
           hasLeft: () => request.hasLeft === true,
           start: () => {
-            seen.push(`start ${request.name}`)
+            record('start')
             block(request.busyMs ?? 0)
           },
-          reject: () => { seen.push(`reject ${request.name}`) },
-          drop: () => { seen.push(`drop ${request.name}`) }
+          reject: () => { record('reject') },
+          drop: () => { record('drop') },
+          fail: () => { seen.push(`fail ${request.name}`) }
         })
       }
       expect(seen).to.deep.equal([])
--- a/packages/stand-ins/src/target-server.ts
+++ b/packages/stand-ins/src/target-server.ts
@@ -76,6 +76,8 @@
   lastEventId: number | undefined
   /** The request carried the caller's API key. */
   wasKeyForwarded: boolean
+  /** Names of the request's headers, in lower case. */
+  headerNames: string[]
   /** Remaining time until the caller's deadline, as the request states it. */
   remainingMs: number
   startedAt: number
@@ -224,6 +226,7 @@
       parts: partIds(message),
       lastEventId: lastEventId === undefined ? undefined : Number(lastEventId),
       wasKeyForwarded: message.headers['api-key'] !== undefined,
+      headerNames: message.rawHeaders.filter((_text, index) => index % 2 === 0).map((name) => name.toLowerCase()),
       remainingMs: Number(message.headers['deadline-remaining-ms']),
       startedAt: performance.now(),
       sentEvents: 0,
