Refuse what could outlast a leaving gateway, at once and unrun

Callers saw: streams sent 3.5 to 4.3 s after SIGTERM were passed on to a target and cut off at 7.3 s, after 39 to 48 of 64 events. Cause: a leaving gateway took requests until 4.5 s after SIGTERM without a look at the time that it had left. Change: LeavingAdmission (decisions) compares what a request may need, by its time limit or by what its kind has taken, with what is left; asked at admission and again before each send. Requests without an answer at the end get one.

--- a/packages/gateway/src/answers.ts
+++ b/packages/gateway/src/answers.ts
@@ -4,6 +4,12 @@
 /** Largest retry-after delay, as a share of the time that remains until the caller's deadline. */
 const MAXIMUM_RETRY_AFTER_SHARE = 0.33
 
+/** Retry-after delay of requests that a leaving gateway does not take, in milliseconds. Other gateways take them at once. */
+const LEAVING_RETRY_AFTER_MS = 50
+
+/** Refusal of a request that could outlast a leaving gateway. */
+export const LEAVING_REFUSAL: calls.Refusal = { status: 503, reason: 'the gateway is leaving', retryAfterMs: LEAVING_RETRY_AFTER_MS }
+
 /**
  * Answers a call with the gateway's own refusal, as problem+json. Does nothing once the response has started or its connection is
  * closed. `remainingMs` is the time until the caller's deadline and bounds the retry-after delay.
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -3,6 +3,8 @@
 import type * as api from '@opentelemetry/api'
 import type * as http from 'node:http'
 
+export type AbortReason = 'caller' | 'deadline' | 'stop'
+
 /** State of one admitted request from its arrival to its final answer. Times are clock milliseconds. */
 export interface Call {
   message: http.IncomingMessage
@@ -18,9 +20,9 @@
   arrival: Arrival
   /** Time by which the gateway must send the final answer. */
   deadlineAt: number
-  /** Aborted when the caller disconnects or the deadline passes. */
+  /** Aborted when the caller disconnects, the deadline passes, or the gateway stops. */
   abortController: AbortController
-  abortReason: 'caller' | 'deadline' | undefined
+  abortReason: AbortReason | undefined
   /** Finished sends of the request to targets, in order. */
   sends: SendRecord[]
   /** Ids of the prompt parts that other requests may share, in order. */
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -37,6 +37,7 @@
   decisionLog: logs.DecisionLog
   metrics: metrics.GatewayMetrics
   flow: flows.RequestFlow
+  leavingAdmission: decisions.leavingAdmission.LeavingAdmission
   routeTable: () => decisions.routeTable.RouteTable | undefined
   /** Time since the agreement was last confirmed, in milliseconds. */
   agreementAgeMs: () => number
@@ -50,6 +51,8 @@
   readonly #server: http.Server
   readonly #readDelayMeter = new runtime.readDelay.ReadDelayMeter()
   readonly #requestsOnConnection = new WeakMap<net.Socket, number>()
+  /** Aborts of the calls in progress. */
+  readonly #aborts = new Set<(reason: calls.AbortReason) => void>()
   readonly #queue: runtime.admissionQueue.AdmissionQueue
   #inProgress = 0
   #isLeaving = false
@@ -89,9 +92,18 @@
     this.#server.requestTimeout = limits.headerTimeoutMs + limits.idleTimeoutMs
   }
 
-  /** Adds `connection: close` to responses from now on, so that callers reconnect elsewhere. New requests are still served. */
-  startLeaving (): void {
+  /**
+   * Adds `connection: close` to responses from now on, so that callers reconnect elsewhere. Requests that end before `stopAt`, in clock
+   * milliseconds, are still served.
+   */
+  startLeaving (stopAt: number): void {
     this.#isLeaving = true
+    this.#options.leavingAdmission.startLeaving(this.#options.clock.now(), stopAt)
+  }
+
+  /** Ends the requests in progress: with an answer where none has begun. */
+  endRequests (): void {
+    for (const abort of this.#aborts) abort('stop')
   }
 
   closeIdleConnections (): void {
@@ -162,12 +174,17 @@
       return
     }
     const { request, route, account } = admission
+    const deadlineAt = arrival.at + Math.min(request.remainingMs ?? Infinity, route.timeoutMs) - DEADLINE_MARGIN_MS
+    const now = this.#options.clock.now()
+    if (!this.#options.leavingAdmission.mayStart(route.name, deadlineAt - now, now)) {
+      this.#refuse(message, response, answers.LEAVING_REFUSAL, arrival, table)
+      return
+    }
     const body = await readBody(message, admission.limits.bodyBytes)
     if (body === undefined) {
       this.#refuse(message, response, { status: 413, reason: 'the body is too large' }, arrival, table)
       return
     }
-    const timeoutMs = Math.min(request.remainingMs ?? Infinity, route.timeoutMs)
     const call: calls.Call = {
       message,
       response,
@@ -179,7 +196,7 @@
       rank: account?.rank ?? route.rank,
       agreementVersion: admission.version,
       arrival,
-      deadlineAt: arrival.at + timeoutMs - DEADLINE_MARGIN_MS,
+      deadlineAt,
       abortController: new AbortController(),
       abortReason: undefined,
       sends: [],
@@ -192,20 +209,22 @@
     await this.#serveUntilDeadline(call)
   }
 
-  /** Serves a call and aborts it when its caller disconnects or its deadline passes. */
+  /** Serves a call and aborts it when its caller disconnects, its deadline passes or the gateway stops. */
   async #serveUntilDeadline (call: calls.Call): Promise<void> {
-    const abort = (reason: 'caller' | 'deadline'): void => {
+    const abort = (reason: calls.AbortReason): void => {
       call.abortReason ??= reason
       call.abortController.abort()
     }
     const onClose = (): void => { if (!call.response.writableFinished) abort('caller') }
     call.response.on('close', onClose)
+    this.#aborts.add(abort)
     const timer = setTimeout(() => { abort('deadline') }, Math.max(0, call.deadlineAt - this.#options.clock.now()))
     try {
       const outcome = await this.#options.flow.serve(call)
       this.#recordOutcome(call, outcome)
     } finally {
       clearTimeout(timer)
+      this.#aborts.delete(abort)
       call.response.off('close', onClose)
       call.span.end()
     }
@@ -267,7 +286,9 @@
   }
 
   #recordOutcome (call: calls.Call, outcome: string): void {
-    const totalMs = this.#options.clock.now() - call.arrival.at
+    const now = this.#options.clock.now()
+    const totalMs = now - call.arrival.at
+    if (outcome === 'answered') this.#options.leavingAdmission.recordDuration(call.route.name, totalMs, now)
     this.#options.metrics.observeRequest(call.route.name, outcome, totalMs / 1000)
     this.#options.decisionLog.write({
       event: 'request-ended',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -41,7 +41,13 @@
 const STOP_TIME_MS = 700
 
 /** Longest time for which a leaving gateway hands tokens back in the end, in milliseconds. */
-const HAND_BACK_TIME_MS = 600
+const HAND_BACK_TIME_MS = 500
+
+/** Time before SIGKILL at which requests in progress are ended, with an answer where none has begun, in milliseconds. */
+const END_REQUESTS_TIME_MS = 200
+
+/** Time for the last answers to leave the process, in milliseconds. */
+const LAST_ANSWERS_TIME_MS = 50
 
 /** Interval at which a leaving gateway checks for requests in progress, in milliseconds. */
 const DRAIN_CHECK_INTERVAL_MS = 50
@@ -88,6 +94,7 @@
   readonly #metrics: metrics.GatewayMetrics
   readonly #callerServer: callerServers.CallerServer
   readonly #entryServer: entries.EntryServer
+  readonly #leavingAdmission = new decisions.leavingAdmission.LeavingAdmission()
   readonly #loadMeter: loads.LoadMeter
   readonly #stopController = new AbortController()
   #isLeaving = false
@@ -179,17 +186,18 @@
 
   /**
    * Shuts down gracefully: announces to callers and peers that the gateway leaves, accepts connections while callers move to other
-   * gateways, waits for requests in progress within the grace period, hands tokens back and stops.
+   * gateways, waits for requests in progress within the grace period, hands tokens back and stops. Requests that could outlast the
+   * grace period are refused meanwhile.
    */
   async shutDown (): Promise<void> {
     const startedAt = this.#clock.now()
     const elapsedMs = (): number => this.#clock.now() - startedAt
     this.#isLeaving = true
     this.#logger.info({ event: 'leaving', inProgress: this.#callerServer.inProgress })
-    this.#callerServer.startLeaving()
+    const drainTimeoutMs = this.#settings.graceMs - STOP_TIME_MS
+    this.#callerServer.startLeaving(startedAt + drainTimeoutMs)
     void this.#peerTask.announce()
     void this.#tokenTask.returnAllTokens()
-    const drainTimeoutMs = this.#settings.graceMs - STOP_TIME_MS
     let isListening = true
     while (elapsedMs() < drainTimeoutMs && (isListening || this.#callerServer.inProgress > 0)) {
       await this.#clock.sleep(DRAIN_CHECK_INTERVAL_MS)
@@ -199,7 +207,13 @@
         this.#callerServer.stopListening()
       }
     }
+    this.#leavingAdmission.refuseAll()
     await Promise.race([this.#tokenTask.returnAllTokens(), this.#clock.sleep(HAND_BACK_TIME_MS)])
+    while (this.#callerServer.inProgress > 0 && elapsedMs() < this.#settings.graceMs - END_REQUESTS_TIME_MS) await this.#clock.sleep(DRAIN_CHECK_INTERVAL_MS)
+    if (this.#callerServer.inProgress > 0) {
+      this.#callerServer.endRequests()
+      await this.#clock.sleep(LAST_ANSWERS_TIME_MS)
+    }
     this.#logger.info({ event: 'stopped', inProgress: this.#callerServer.inProgress, milliseconds: Math.round(elapsedMs()) })
     this.stopNow()
   }
@@ -348,6 +362,7 @@
       retryAllowance: this.#retryAllowance,
       promptParts: this.#promptParts,
       chooser,
+      leavingAdmission: this.#leavingAdmission,
       random: this.#random,
       rankFor: (key) => this.#fleetView.rankFor(key),
       announce,
@@ -361,6 +376,7 @@
       logger: this.#logger,
       decisionLog: new logs.DecisionLog(this.#logger, this.#clock),
       metrics: this.#metrics,
+      leavingAdmission: this.#leavingAdmission,
       flow,
       routeTable: () => this.#configurationWatch.routeTable,
       agreementAgeMs: () => this.#fleetExchange.agreementAgeMs(),
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -41,6 +41,7 @@
   retryAllowance: decisions.retryAllowance.RetryAllowance
   promptParts: decisions.promptPartBoard.PromptPartBoard
   chooser: targetChoosers.TargetChooser
+  leavingAdmission: decisions.leavingAdmission.LeavingAdmission
   random: decisions.random.RandomSource
   /** Position of this gateway in an order of all live gateways for a key, from 0. */
   rankFor: (key: string) => number
@@ -136,6 +137,7 @@
       if (triedTargets.size > 0 && this.#isHeldBack(call)) break
       const placement = await this.#options.chooser.place(call, triedTargets)
       if (placement === undefined || (triedTargets.size > 0 && !this.#consumeRetry(call))) break
+      if (!this.#mayStart(call)) break
       triedTargets.add(placement.target.entry.id)
       const outcome = await this.#send(call, placement)
       if (outcome.kind === 'answered') return 'answered'
@@ -146,6 +148,12 @@
     return this.#endUnanswered(call, lastFailure)
   }
 
+  /** Returns false where the gateway is leaving and the call could outlast it. */
+  #mayStart (call: calls.Call): boolean {
+    const now = this.#options.clock.now()
+    return this.#options.leavingAdmission.mayStart(call.route.name, call.deadlineAt - now, now)
+  }
+
   /** Counts a retry against this gateway's part of the fleet's retry budget. Returns false where that is used up. */
   #consumeRetry (call: calls.Call): boolean {
     return this.#options.retryAllowance.tryConsumeRetry(call.service, this.#options.gatewayCount(), this.#options.clock.now())
@@ -294,6 +302,10 @@
           return 'answer-lost'
         }
         if (call.heldPart !== undefined) return this.#refuseHeldPart(call)
+        if (!this.#mayStart(call)) {
+          answers.sendRefusal(call.response, answers.LEAVING_REFUSAL)
+          return 'gateway-leaving'
+        }
         return this.#refuseWithoutTarget(call)
       })
   }
