Choose a target once a connection is free, not before the wait for one

Callers saw: 12 requests were sent to a target some 2.1 s after the store had acknowledged that it drains, and were lost with it. Others waited for a full target while one with room was there. Cause: the target was chosen first; the request then waited without a bound in the pool of that target, and nobody asked again. Change: ConnectionSlots counts the connections in use; TargetChooser chooses among targets with a free one, and where there is none the request waits before the choice. After the wait for a permit the choice is checked again.

--- /dev/null
+++ b/packages/gateway/src/connection-slots.ts
@@ -0,0 +1,80 @@
+import * as decisions from '@acaciaweir/decisions'
+
+type Entry = decisions.agreementTypes.TargetEntry
+
+const { targetRunAtAddress } = decisions.agreementTypes
+
+/** Place of a request among those that wait for a target of a service with room. */
+export class WaitingTurn {
+  readonly rank: number
+  #wake: () => void = () => {}
+
+  constructor (rank: number) {
+    this.rank = rank
+  }
+
+  /** Resolves when it is this request's turn, at the latest after `maximumMs`, or when the signal aborts. */
+  async next (maximumMs: number, signal: AbortSignal): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.#wake = () => {
+        clearTimeout(timer)
+        signal.removeEventListener('abort', this.#wake)
+        resolve()
+      }
+      const timer = setTimeout(() => { this.#wake() }, maximumMs)
+      signal.addEventListener('abort', this.#wake)
+    })
+  }
+
+  wake (): void {
+    this.#wake()
+  }
+}
+
+/**
+ * Counts the connections in use to each target. A request waits here, before its target is chosen, rather than in the connection pool of
+ * one target: by the time that it can be sent, that target may be leaving while another has room.
+ */
+export class ConnectionSlots {
+  readonly #limitOf: (service: string) => number
+  readonly #inUse = new Map<string, number>()
+  /** Requests that wait, by service, the most urgent first and in order of arrival. */
+  readonly #turns = new Map<string, WaitingTurn[]>()
+
+  /** `limitOf` returns the connections that this gateway may open to each target of a service. */
+  constructor (limitOf: (service: string) => number) {
+    this.#limitOf = limitOf
+  }
+
+  hasRoom (entry: Entry): boolean {
+    return (this.#inUse.get(targetRunAtAddress(entry)) ?? 0) < this.#limitOf(entry.service)
+  }
+
+  /** Takes a connection to a target. Call the returned function once, when the connection is free again. */
+  take (entry: Entry): () => void {
+    const key = targetRunAtAddress(entry)
+    this.#inUse.set(key, (this.#inUse.get(key) ?? 0) + 1)
+    return () => {
+      const left = (this.#inUse.get(key) ?? 0) - 1
+      if (left > 0) this.#inUse.set(key, left)
+      else this.#inUse.delete(key)
+      this.#turns.get(entry.service)?.[0]?.wake()
+    }
+  }
+
+  /** Queues a request behind those of its service that are as urgent. Call `leaveQueue` when it no longer waits. */
+  joinQueue (service: string, rank: number): WaitingTurn {
+    const turn = new WaitingTurn(rank)
+    const turns = this.#turns.get(service) ?? []
+    const position = turns.findIndex((other) => other.rank > rank)
+    turns.splice(position === -1 ? turns.length : position, 0, turn)
+    this.#turns.set(service, turns)
+    return turn
+  }
+
+  leaveQueue (service: string, turn: WaitingTurn): void {
+    const left = (this.#turns.get(service) ?? []).filter((other) => other !== turn)
+    if (left.length > 0) this.#turns.set(service, left)
+    else this.#turns.delete(service)
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
 import * as runtime from '@acaciaweir/runtime'
 import * as crypto from 'node:crypto'
 import * as callerServers from './caller-server.js'
+import * as connectionSlots from './connection-slots.js'
 import * as configurations from './configuration-watch.js'
 import * as logs from './decision-log.js'
 import * as entries from './entry-server.js'
@@ -344,6 +345,10 @@
 
   #createCallerServer (): callerServers.CallerServer {
     const announce = (): void => { void this.#peerTask.announceSoon() }
+    const connectionLimit = (service: string): number => {
+      const maximumConnections = this.#configurationWatch.routeTable?.service(service)?.maximumConnections ?? Infinity
+      return targetConnections.connectionLimit(maximumConnections, this.#fleetView.gatewayCount())
+    }
     const chooser = new targetChoosers.TargetChooser({
       clock: this.#clock,
       logger: this.#logger,
@@ -351,6 +356,8 @@
       targetLimits: this.#targetLimits,
       targetRests: new decisions.targetRests.TargetRests(),
       permits: this.#targetPermits,
+      slots: new connectionSlots.ConnectionSlots(connectionLimit),
+      leavingAdmission: this.#leavingAdmission,
       availabilityZone: this.#settings.availabilityZone,
       announce
     })
@@ -362,7 +369,7 @@
       retryAllowance: this.#retryAllowance,
       promptParts: this.#promptParts,
       chooser,
-      leavingAdmission: this.#leavingAdmission,
+      connectionLimit,
       random: this.#random,
       rankFor: (key) => this.#fleetView.rankFor(key),
       announce,
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -41,13 +41,14 @@
   retryAllowance: decisions.retryAllowance.RetryAllowance
   promptParts: decisions.promptPartBoard.PromptPartBoard
   chooser: targetChoosers.TargetChooser
-  leavingAdmission: decisions.leavingAdmission.LeavingAdmission
   random: decisions.random.RandomSource
   /** Position of this gateway in an order of all live gateways for a key, from 0. */
   rankFor: (key: string) => number
   /** Sends a heartbeat with new evidence about prompt parts to the other gateways. */
   announce: () => void
   findService: (name: string) => decisions.agreementTypes.Service | undefined
+  /** Connections that this gateway may open to each target of a service. */
+  connectionLimit: (service: string) => number
   /** Number of live gateways, including this one. */
   gatewayCount: () => number
   onFirstEvent: (milliseconds: number) => void
@@ -135,11 +136,8 @@
     let lastFailure: SendOutcome | undefined
     while (call.abortReason === undefined) {
       if (triedTargets.size > 0 && this.#isHeldBack(call)) break
-      const placement = await this.#options.chooser.place(call, triedTargets)
-      if (placement === undefined || (triedTargets.size > 0 && !this.#consumeRetry(call))) break
-      if (!this.#mayStart(call)) break
-      triedTargets.add(placement.target.entry.id)
-      const outcome = await this.#send(call, placement)
+      const outcome = await this.#sendOnce(call, triedTargets)
+      if (outcome === undefined) break
       if (outcome.kind === 'answered') return 'answered'
       lastFailure = outcome
       if (outcome.kind !== 'not-run') possibleRuns += 1
@@ -148,10 +146,17 @@
     return this.#endUnanswered(call, lastFailure)
   }
 
-  /** Returns false where the gateway is leaving and the call could outlast it. */
-  #mayStart (call: calls.Call): boolean {
-    const now = this.#options.clock.now()
-    return this.#options.leavingAdmission.mayStart(call.route.name, call.deadlineAt - now, now)
+  /** Sends the call to one more target. Returns undefined if none takes it, or a retry is not allowed. */
+  async #sendOnce (call: calls.Call, triedTargets: Set<string>): Promise<SendOutcome | undefined> {
+    const chosen = await this.#options.chooser.place(call, triedTargets)
+    if (chosen === undefined) return undefined
+    try {
+      if (triedTargets.size > 0 && !this.#consumeRetry(call)) return undefined
+      triedTargets.add(chosen.placement.target.entry.id)
+      return await this.#send(call, chosen.placement)
+    } finally {
+      chosen.release()
+    }
   }
 
   /** Counts a retry against this gateway's part of the fleet's retry budget. Returns false where that is used up. */
@@ -210,7 +215,7 @@
     const abortSend = (): void => { sendController.abort() }
     call.abortController.signal.addEventListener('abort', abortSend)
     try {
-      const response = await this.#options.connections.send(this.#createTargetCall(call, placement, sendController.signal, span), this.#connectionShare(call.service))
+      const response = await this.#options.connections.send(this.#createTargetCall(call, placement, sendController.signal, span), this.#options.connectionLimit(call.service))
       return await this.#receiveAnswer(call, placement.target.entry, sentAt, response, onPromptRead, sendController)
     } catch (error) {
       const { knowledge, message, isConnectionLost } = toTargetError(error)
@@ -250,11 +255,6 @@
     return Math.max(1, Math.min(remainingMs * MAXIMUM_SEND_SHARE, maximumSilenceMs))
   }
 
-  /** This gateway's share of the connections that one target of a service accepts. */
-  #connectionShare (service: string): number {
-    return (this.#options.findService(service)?.maximumConnections ?? Infinity) / this.#options.gatewayCount()
-  }
-
   async #receiveAnswer (call: calls.Call, target: decisions.agreementTypes.TargetEntry, sentAt: number, response: http.IncomingMessage, onPromptRead: () => void, sendController: AbortController): Promise<SendOutcome> {
     const answer = adapter.targetRequest.decodeTargetResponse(response, call.request.attemptId)
     this.#options.chooser.recordAnswer(call, target, answer, sentAt)
@@ -302,7 +302,7 @@
           return 'answer-lost'
         }
         if (call.heldPart !== undefined) return this.#refuseHeldPart(call)
-        if (!this.#mayStart(call)) {
+        if (!this.#options.chooser.mayStart(call)) {
           answers.sendRefusal(call.response, answers.LEAVING_REFUSAL)
           return 'gateway-leaving'
         }
--- a/packages/gateway/src/target-chooser.ts
+++ b/packages/gateway/src/target-chooser.ts
@@ -2,6 +2,7 @@
 import type * as adapter from '@acaciaweir/platform-adapter'
 import type * as runtime from '@acaciaweir/runtime'
 import type * as calls from './call.js'
+import type * as connectionSlots from './connection-slots.js'
 import type * as targetPermits from './target-permits.js'
 
 type Entry = decisions.agreementTypes.TargetEntry
@@ -11,6 +12,9 @@
 /** Least time between two choices of a target for a request that waits, in milliseconds. */
 const MINIMUM_WAIT_MS = 10
 
+/** Interval at which a request that waits for a connection looks for a target anew, in milliseconds. Targets come, and others leave or rest. */
+const ROOM_CHECK_INTERVAL_MS = 100
+
 /** Dependencies of the choice of targets. */
 export interface TargetChooserOptions {
   clock: decisions.clock.Clock
@@ -19,11 +23,19 @@
   targetLimits: decisions.targetLimits.TargetLimits
   targetRests: decisions.targetRests.TargetRests
   permits: targetPermits.TargetPermits
+  slots: connectionSlots.ConnectionSlots
+  leavingAdmission: decisions.leavingAdmission.LeavingAdmission
   availabilityZone: string
   /** Sends a heartbeat with what a target said to the other gateways. */
   announce: () => void
 }
 
+/** A target that was chosen for a request, with a connection to it. Call `release` once, when the request has ended or is not sent. */
+export interface ChosenTarget {
+  placement: decisions.placement.Placement
+  release: () => void
+}
+
 /** Chooses the target of a request, by load, caches and what targets have said of themselves in their answers. */
 export class TargetChooser {
   readonly #options: TargetChooserOptions
@@ -33,21 +45,46 @@
   }
 
   /**
-   * Chooses a target, with a permit where it names a limit. Where all targets are at their limits or rest, waits if that does not take long;
-   * otherwise returns undefined, and sets the time that it would take.
+   * Chooses a target that has a free connection, with a permit where it names a limit. Where all connections are in use, waits for one. Where
+   * all targets are at their limits or rest, waits if that does not take long; otherwise returns undefined, and sets the time that it would take.
    */
-  async place (call: calls.Call, triedTargets: ReadonlySet<string>): Promise<decisions.placement.Placement | undefined> {
-    const { clock, permits } = this.#options
+  async place (call: calls.Call, triedTargets: ReadonlySet<string>): Promise<ChosenTarget | undefined> {
+    const { slots } = this.#options
+    let turn: connectionSlots.WaitingTurn | undefined
+    try {
+      while (call.abortReason === undefined && this.mayStart(call)) {
+        const chosen = await this.#placeUnlessFull(call, triedTargets)
+        if (chosen !== undefined || this.#fullTargets(call, triedTargets).length === 0) return chosen
+        turn ??= slots.joinQueue(call.service, call.rank)
+        await turn.next(ROOM_CHECK_INTERVAL_MS, call.abortController.signal)
+      }
+      return undefined
+    } finally {
+      if (turn !== undefined) slots.leaveQueue(call.service, turn)
+    }
+  }
+
+  /** Returns false where the gateway is leaving and the call could outlast it. */
+  mayStart (call: calls.Call): boolean {
+    const now = this.#options.clock.now()
+    return this.#options.leavingAdmission.mayStart(call.route.name, call.deadlineAt - now, now)
+  }
+
+  /** Chooses a target as `place` does, but returns undefined where a target could take the call if it had a free connection. */
+  async #placeUnlessFull (call: calls.Call, triedTargets: ReadonlySet<string>): Promise<ChosenTarget | undefined> {
+    const { clock, permits, slots } = this.#options
     const waitUntil = clock.now() + permits.maximumWaitMs(call.rank)
     while (call.abortReason === undefined) {
       const placement = this.#choose(call, triedTargets)
       if (placement !== undefined) {
         call.permitWaitMs = undefined
         call.areTargetsResting = false
-        // The target may have asked for rest while the request waited for its permit.
-        if (await permits.acquire(placement.target.entry) && !this.#isResting(placement.target.entry)) return placement
+        const release = slots.take(placement.target.entry)
+        if (await permits.acquire(placement.target.entry) && this.#isStillWanted(placement.target.entry)) return { placement, release }
+        release()
         continue
       }
+      if (this.#fullTargets(call, triedTargets).length > 0) return undefined
       call.permitWaitMs = this.#expectedWaitMs(call, triedTargets)
       if (call.permitWaitMs === undefined || clock.now() + call.permitWaitMs > waitUntil) return undefined
       await this.#wait(call, call.permitWaitMs)
@@ -72,15 +109,35 @@
   }
 
   #choose (call: calls.Call, triedTargets: ReadonlySet<string>): decisions.placement.Placement | undefined {
-    const placement = decisions.placement.chooseTarget(this.#options.board, {
+    const { board, clock, slots } = this.#options
+    const now = clock.now()
+    const placement = decisions.placement.chooseTarget(board, {
       service: call.service,
       sharedParts: call.request.promptParts.slice(0, -1),
       promptTokens: call.request.promptTokens ?? 0,
       availabilityZone: this.#options.availabilityZone
-    }, triedTargets, this.#options.clock.now(), ({ entry }) => !this.#isResting(entry) && this.#options.permits.mayAsk(entry, call.rank))
+    }, triedTargets, now, ({ entry }) => this.#isAllowed(call, entry) && slots.hasRoom(entry))
+    const isLastResort = placement !== undefined && placement.target.backoffUntil > now
+    if (isLastResort && this.#fullTargets(call, triedTargets).some((target) => target.backoffUntil <= now)) return undefined
     return placement?.copyFrom !== undefined && this.#isResting(placement.copyFrom.entry) ? { target: placement.target } : placement
   }
 
+  #isAllowed (call: calls.Call, entry: Entry): boolean {
+    return !this.#isResting(entry) && this.#options.permits.mayAsk(entry, call.rank)
+  }
+
+  /** Returns the targets that could take the call if one of their connections were free. */
+  #fullTargets (call: calls.Call, triedTargets: ReadonlySet<string>): decisions.targetBoard.TargetState[] {
+    const { board, slots } = this.#options
+    return board.assignableTargets(call.service).filter(({ entry }) => !triedTargets.has(entry.id) && !slots.hasRoom(entry) && this.#isAllowed(call, entry))
+  }
+
+  /** Returns whether a target that was chosen before a wait is still registered, stays, and wants requests. */
+  #isStillWanted (entry: Entry): boolean {
+    const known = this.#options.board.get(entry.id)?.entry
+    return known !== undefined && !known.leaving && targetLifetime(known) === targetLifetime(entry) && !this.#isResting(entry)
+  }
+
   /** Returns the time until a target may take the call, in milliseconds; undefined where neither limits nor rests are the reason that none does. */
   #expectedWaitMs (call: calls.Call, triedTargets: ReadonlySet<string>): number | undefined {
     const { board, clock, permits, targetRests } = this.#options
--- a/packages/gateway/src/target-connections.ts
+++ b/packages/gateway/src/target-connections.ts
@@ -14,6 +14,11 @@
 /** Connections that a gateway may open to a target even where its share of the target's limit is smaller. */
 const MINIMUM_CONNECTIONS_PER_TARGET = 4
 
+/** Returns the connections that a gateway may open to a target that accepts `maximumConnections` from all. */
+export function connectionLimit (maximumConnections: number, gatewayCount: number): number {
+  return Math.max(MINIMUM_CONNECTIONS_PER_TARGET, Math.floor(maximumConnections / gatewayCount * GATEWAY_CONNECTION_SHARE))
+}
+
 /** A failed request to a target. `knowledge` says whether the request may have run. */
 export class TargetError extends Error {
   readonly step: string
@@ -72,10 +77,10 @@
   opened = 0
 
   /**
-   * Sends a request and resolves when the head of the response arrives. `connectionShare` is this gateway's part of the target's
-   * connection limit. Throws TargetError.
+   * Sends a request and resolves when the head of the response arrives. A request above the connection limit waits for a connection; the
+   * caller keeps within it. Throws TargetError.
    */
-  async send (call: TargetCall, connectionShare: number): Promise<http.IncomingMessage> {
+  async send (call: TargetCall, connectionLimit: number): Promise<http.IncomingMessage> {
     try {
       return await runtime.httpCall.openCall({
         method: call.method,
@@ -84,7 +89,7 @@
         body: call.body.length > 0 ? call.body : undefined,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         idleTimeoutMs: call.timeoutMs,
-        agent: this.#agentFor(call.target, connectionShare),
+        agent: this.#agentFor(call.target, connectionLimit),
         signal: call.signal
       })
     } catch (error) {
@@ -108,14 +113,14 @@
     for (const agent of this.#agents.values()) agent.destroy()
   }
 
-  #agentFor (target: decisions.agreementTypes.TargetEntry, connectionShare: number): GuardedAgent {
+  #agentFor (target: decisions.agreementTypes.TargetEntry, connectionLimit: number): GuardedAgent {
     const key = connectionKey(target)
     let agent = this.#agents.get(key)
     if (agent === undefined) {
       agent = new GuardedAgent({ keepAlive: true, scheduling: 'lifo', timeout: IDLE_CONNECTION_TIMEOUT_MS, noDelay: true })
       this.#agents.set(key, agent)
     }
-    agent.maxSockets = Math.max(MINIMUM_CONNECTIONS_PER_TARGET, Math.floor(connectionShare * GATEWAY_CONNECTION_SHARE))
+    agent.maxSockets = connectionLimit
     return agent
   }
 }
--- a/packages/gateway/test/target-chooser.test.ts
+++ b/packages/gateway/test/target-chooser.test.ts
@@ -5,6 +5,7 @@
 import * as chai from 'chai'
 import type * as calls from '../src/call.js'
 import type * as targetPermits from '../src/target-permits.js'
+import * as connectionSlots from '../src/connection-slots.js'
 import * as targetChoosers from '../src/target-chooser.js'
 import * as virtualClocks from './virtual-clock.js'
 
@@ -38,19 +39,21 @@
         clock,
         board,
         permits,
+        slots: new connectionSlots.ConnectionSlots(() => Infinity),
+        leavingAdmission: new decisions.leavingAdmission.LeavingAdmission(),
         logger: runtime.logging.createLogger('silent'),
         targetLimits: new decisions.targetLimits.TargetLimits(() => {}),
         targetRests: new decisions.targetRests.TargetRests(),
         availabilityZone: 'zone-a',
         announce: () => {}
       })
-      const call = { service: 'engines', rank: 0, request: { promptParts: [], promptTokens: 0 }, abortController: new AbortController() } as unknown as calls.Call
+      const call = { service: 'engines', route: { name: 'plan' }, deadlineAt: Infinity, rank: 0, request: { promptParts: [], promptTokens: 0 }, abortController: new AbortController() } as unknown as calls.Call
       const placement = chooser.place(call, new Set())
       await clock.runUntil(PERMIT_MS / 2)
       const answer = { belongsToAttempt: true, isLeaving: false, restMs: 5000, limitPerSecond: undefined } as unknown as adapter.targetRequest.TargetResponse
       for (const entry of entries.filter(({ id }) => resting.includes(id))) chooser.recordAnswer(call, entry, answer, clock.now())
       await clock.runUntil(PERMIT_MS * 4)
-      expect((await placement)?.target.entry.id).to.equal(chosen)
+      expect((await placement)?.placement.target.entry.id).to.equal(chosen)
     })
   }
 })
--- a/packages/stand-ins/src/platform-stand-in.ts
+++ b/packages/stand-ins/src/platform-stand-in.ts
@@ -23,6 +23,8 @@
   routes?: object[]
   maximumTargets?: number
   timeoutMs?: number
+  /** Connections that each target accepts from all gateways together. */
+  maximumConnections?: number
 }
 
 /** A stand-in for the platform around a gateway: the store with the operators' configuration, and targets. */
@@ -93,8 +95,8 @@
         ...(overrides.routes ?? [])
       ],
       Services: [
-        { Name: 'engines', HealthPath: '/health', MaxConnections: 200, Engine: { Slots: 32, KvCapacityTokens: 100_000, Stride: 1 } },
-        { Name: 'orders', HealthPath: '/health', MaxConnections: 200 }
+        { Name: 'engines', HealthPath: '/health', MaxConnections: overrides.maximumConnections ?? 200, Engine: { Slots: 32, KvCapacityTokens: 100_000, Stride: 1 } },
+        { Name: 'orders', HealthPath: '/health', MaxConnections: overrides.maximumConnections ?? 200 }
       ],
       Limits: { MaxHeaderBytes: 16_384, MaxBodyBytes: 65_536, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15_000 },
       Tenants: this.accounts.map((account) => ({ Name: account.name, ApiKeys: [account.apiKey], Prepaid: account.prepaidTokens }))
