Complete what was accepted whatever signals come while a process is leaving

Callers saw: plain requests without a status and streams cut short, all in one moment around SIGTERM. Cause: a second SIGTERM or SIGINT ended gateway and router at once, without a log line; a SIGHUP ended the router. Change: one shutDownOnSignal (runtime) for both programs. Further signals are logged and ignored; the router ignores SIGHUP. That the users' machines sent a second signal is inferred.

--- a/packages/gateway/src/program.ts
+++ b/packages/gateway/src/program.ts
@@ -7,9 +7,6 @@
 
 const INVALID_SETTINGS_EXIT_CODE = 2
 
-/** Exit code after a second termination signal, which ends the process without waiting for the shutdown. */
-const FORCED_EXIT_CODE = 130
-
 /** Interval at which a settings file that changed without a SIGHUP is detected, in milliseconds. */
 const SETTINGS_FILE_CHECK_INTERVAL_MS = 2000
 
@@ -39,17 +36,12 @@
     sampledShare: gatewaySettings.traceSampledShare
   })
   const gateway = new gateways.Gateway({ settings: fleetSettings, metricsPort: gatewaySettings.metricsPort, seed: gatewaySettings.seed, log })
-  let isShuttingDown = false
-  const onTerminationSignal = (): void => {
-    if (isShuttingDown) process.exit(FORCED_EXIT_CODE)
-    isShuttingDown = true
-    void gateway.shutDown().then(stopTelemetry).then(() => {
-      log.flush()
-      process.exit(0)
-    })
-  }
-  process.on('SIGTERM', onTerminationSignal)
-  process.on('SIGINT', onTerminationSignal)
+  runtime.terminationSignals.shutDownOnSignal(log.logger, async () => {
+    await gateway.shutDown()
+    await stopTelemetry()
+    log.flush()
+    process.exit(0)
+  })
   const onSettingsChange = (): void => { reload(gateway, log.logger, gatewaySettings.settingsFile) }
   process.on('SIGHUP', onSettingsChange)
   fs.watchFile(gatewaySettings.settingsFile, { interval: SETTINGS_FILE_CHECK_INTERVAL_MS }, onSettingsChange)
--- a/packages/proving/src/soak-fleet.ts
+++ b/packages/proving/src/soak-fleet.ts
@@ -53,7 +53,7 @@
   }
 
   /** Sends a terminating signal and resolves with the exit code; undefined if the signal ended the process. */
-  async terminate (signal: 'SIGTERM' | 'SIGKILL'): Promise<number | undefined> {
+  async terminate (signal: 'SIGTERM' | 'SIGINT' | 'SIGKILL'): Promise<number | undefined> {
     this.#isTerminated = true
     if (this.isPaused) this.resume()
     this.#process?.signal(signal)
--- a/packages/router-daemon/src/main.ts
+++ b/packages/router-daemon/src/main.ts
@@ -5,9 +5,6 @@
 
 const INVALID_SETTINGS_EXIT_CODE = 2
 
-/** Exit code after a second termination signal, which ends the process without waiting for the shutdown. */
-const FORCED_EXIT_CODE = 130
-
 await run(readSettingsOrExit())
 
 function readSettingsOrExit (): settings.Settings {
@@ -30,21 +27,12 @@
     sampledShare: validSettings.traceSampledShare
   })
   const daemon = new router.Router(validSettings, logger)
-  shutDownOnSignal(async () => {
+  runtime.terminationSignals.shutDownOnSignal(logger, async () => {
     await daemon.shutDown()
     await stopTelemetry()
     process.exit(0)
   })
+  // A terminal that closes sends it. There is nothing to reload, and without a handler it would end the process.
+  process.on('SIGHUP', () => { logger.info({ event: 'signal-ignored', signal: 'SIGHUP' }) })
   await daemon.start()
 }
-
-function shutDownOnSignal (shutDown: () => Promise<void>): void {
-  let isShuttingDown = false
-  const onSignal = (): void => {
-    if (isShuttingDown) process.exit(FORCED_EXIT_CODE)
-    isShuttingDown = true
-    void shutDown()
-  }
-  process.on('SIGTERM', onSignal)
-  process.on('SIGINT', onSignal)
-}
