Send nothing for a caller that left while its request waited for a permit

Callers saw nothing; a target ran a request whose caller had left or whose time was over. Cause: after the wait for a permit nobody asked whether the caller was still there, and a signal that is already aborted does not abort the send. The same class as requests that wait for a connection. Evidence: target-chooser.test.ts failed 1 of 4 before, 4 of 4 pass.

--- a/packages/gateway/src/target-chooser.ts
+++ b/packages/gateway/src/target-chooser.ts
@@ -80,7 +80,9 @@
         call.permitWaitMs = undefined
         call.areTargetsResting = false
         const release = slots.take(placement.target.entry)
-        if (await permits.acquire(placement.target.entry) && this.#isStillWanted(placement.target.entry)) return { placement, release }
+        const isPermitted = await permits.acquire(placement.target.entry)
+        // The caller may have left while the request waited for its permit, and the target may have left or asked for rest.
+        if (isPermitted && call.abortReason === undefined && this.#isStillWanted(placement.target.entry)) return { placement, release }
         release()
         continue
       }
--- a/packages/gateway/test/target-chooser.test.ts
+++ b/packages/gateway/test/target-chooser.test.ts
@@ -1,4 +1,4 @@
-// Guards against a request that is sent to a target which asked for rest while the request waited for a permit.
+// Guards against a request that is sent to a target which asked for rest while the request waited for a permit, or whose caller left meanwhile.
 import * as decisions from '@acaciaweir/decisions'
 import type * as adapter from '@acaciaweir/platform-adapter'
 import * as runtime from '@acaciaweir/runtime'
@@ -14,12 +14,13 @@
 const PERMIT_MS = 50
 
 describe('TargetChooser', () => {
-  const cases: Array<{ name: string, targets: string[], resting: string[], chosen: string | undefined }> = [
+  const cases: Array<{ name: string, targets: string[], resting: string[], hasCallerLeft?: boolean, chosen: string | undefined }> = [
     { name: 'sends to the target for which a permit came', targets: ['a'], resting: [], chosen: 'a' },
     { name: 'sends to another target if that one asked for rest while the request waited for its permit', targets: ['a', 'b'], resting: ['a'], chosen: 'b' },
-    { name: 'sends to none if all asked for rest while the request waited for a permit', targets: ['a'], resting: ['a'], chosen: undefined }
+    { name: 'sends to none if all asked for rest while the request waited for a permit', targets: ['a'], resting: ['a'], chosen: undefined },
+    { name: 'sends to none if the caller left while the request waited for a permit', targets: ['a', 'b'], resting: [], hasCallerLeft: true, chosen: undefined }
   ]
-  for (const { name, targets, resting, chosen } of cases) {
+  for (const { name, targets, resting, hasCallerLeft, chosen } of cases) {
     it(name, async () => {
       const clock = new virtualClocks.VirtualClock()
       const board = new decisions.targetBoard.TargetBoard()
@@ -52,6 +53,7 @@
       await clock.runUntil(PERMIT_MS / 2)
       const answer = { belongsToAttempt: true, isLeaving: false, restMs: 5000, limitPerSecond: undefined } as unknown as adapter.targetRequest.TargetResponse
       for (const entry of entries.filter(({ id }) => resting.includes(id))) chooser.recordAnswer(call, entry, answer, clock.now())
+      if (hasCallerLeft === true) call.abortReason = 'caller'
       await clock.runUntil(PERMIT_MS * 4)
       expect((await placement)?.placement.target.entry.id).to.equal(chosen)
     })
