Keep the log lines of lost answers apart from refusals, and say why a call was not retried

Callers saw streams cut around SIGTERM for which the gateway's log had no line, or a line that did not tell whether a leaving gateway, the retry budget or a lack of targets kept the stream from being continued. Refusals and lost answers shared 400 lines a second. Lost answers now have a share of their own, and request-ended carries noRetryReason and abortReason. decision-log.test.ts fails on the code before: none of three cut answers is logged after 2000 refusals.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -5,6 +5,9 @@
 
 export type AbortReason = 'caller' | 'deadline' | 'stop'
 
+/** Why a call is not sent to another target after a send that failed. */
+export type NoRetryReason = 'connection-lost-under-part' | 'not-repeatable' | 'all-attempts-used' | 'not-resumable' | 'held-part' | 'gateway-leaving' | 'no-target' | 'retry-budget-used'
+
 /** State of one admitted request from its arrival to its final answer. Times are clock milliseconds. */
 export interface Call {
   message: http.IncomingMessage
@@ -25,6 +28,8 @@
   abortReason: AbortReason | undefined
   /** Finished sends of the request to targets, in order. */
   sends: SendRecord[]
+  /** Why the call was last not sent to another target, for the log. */
+  noRetryReason?: NoRetryReason
   /** Ids of the prompt parts that other requests may share, in order. */
   sharedParts: readonly string[]
   /** Evidence for which the call was refused, because targets crash under one of its prompt parts. */
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -5,7 +5,7 @@
 import type * as net from 'node:net'
 import * as answers from './answers.js'
 import type * as calls from './call.js'
-import type * as logs from './decision-log.js'
+import * as logs from './decision-log.js'
 import type * as metrics from './gateway-metrics.js'
 import type * as flows from './request-flow.js'
 
@@ -27,6 +27,9 @@
 /** Connections that may wait to be accepted. */
 const LISTEN_BACKLOG = 1024
 
+/** Outcomes of requests whose caller got no whole answer, although a target may have run them. */
+const LOST_ANSWER_OUTCOMES = new Set(['broken-off', 'answer-lost', 'timed-out'])
+
 /** Mean retry-after delay of requests that an overloaded gateway rejects, in milliseconds. */
 const OVERLOAD_RETRY_AFTER_MS = 800
 
@@ -309,10 +312,12 @@
       waitsMs: call.request.remainingMs,
       ...arrivalForLog(call.arrival),
       sends: call.sends,
+      noRetryReason: outcome === 'answered' ? undefined : call.noRetryReason,
+      abortReason: call.abortReason,
       events: call.events,
       firstEventMs: call.firstEventAt === undefined ? undefined : Math.round(call.firstEventAt - call.arrival.at),
       totalMs: Math.round(totalMs)
-    })
+    }, LOST_ANSWER_OUTCOMES.has(outcome) ? logs.LineKind.lostAnswer : logs.LineKind.ordinary)
   }
 }
 
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -135,7 +135,10 @@
     let possibleRuns = 0
     let lastFailure: SendOutcome | undefined
     while (call.abortReason === undefined) {
-      if (triedTargets.size > 0 && this.#isHeldBack(call)) break
+      if (triedTargets.size > 0 && this.#isHeldBack(call)) {
+        call.noRetryReason = 'held-part'
+        break
+      }
       const outcome = await this.#sendOnce(call, triedTargets)
       if (outcome === undefined) break
       if (outcome.kind === 'answered') return 'answered'
@@ -149,9 +152,15 @@
   /** Sends the call to one more target. Returns undefined if none takes it, or a retry is not allowed. */
   async #sendOnce (call: calls.Call, triedTargets: Set<string>): Promise<SendOutcome | undefined> {
     const chosen = await this.#options.chooser.place(call, triedTargets)
-    if (chosen === undefined) return undefined
+    if (chosen === undefined) {
+      call.noRetryReason = this.#options.chooser.mayStart(call) ? 'no-target' : 'gateway-leaving'
+      return undefined
+    }
     try {
-      if (triedTargets.size > 0 && !this.#consumeRetry(call)) return undefined
+      if (triedTargets.size > 0 && !this.#consumeRetry(call)) {
+        call.noRetryReason = 'retry-budget-used'
+        return undefined
+      }
       triedTargets.add(chosen.placement.target.entry.id)
       return await this.#send(call, chosen.placement)
     } finally {
@@ -171,9 +180,15 @@
   #mayTryAnother (call: calls.Call, outcome: SendOutcome, possibleRuns: number): boolean {
     if (call.abortReason !== undefined) return false
     if (outcome.kind === 'not-run') return true
-    if (isConnectionLost(outcome) && !this.#options.promptParts.mayRepeat(call.sharedParts)) return false
-    if (call.route.repetition === Repetition.atMostOnce || possibleRuns >= call.route.maximumTargets) return false
-    return outcome.kind !== 'cut' || call.route.resumable
+    call.noRetryReason = this.#noRetryReason(call, outcome, possibleRuns)
+    return call.noRetryReason === undefined
+  }
+
+  #noRetryReason (call: calls.Call, outcome: SendOutcome, possibleRuns: number): calls.NoRetryReason | undefined {
+    if (isConnectionLost(outcome) && !this.#options.promptParts.mayRepeat(call.sharedParts)) return 'connection-lost-under-part'
+    if (call.route.repetition === Repetition.atMostOnce) return 'not-repeatable'
+    if (possibleRuns >= call.route.maximumTargets) return 'all-attempts-used'
+    return outcome.kind === 'cut' && !call.route.resumable ? 'not-resumable' : undefined
   }
 
   async #send (call: calls.Call, placement: decisions.placement.Placement): Promise<SendOutcome> {
