--- a/packages/stand-ins/src/target-server.ts
+++ b/packages/stand-ins/src/target-server.ts
@@ -25,6 +25,8 @@
   extraBytes: 'extra-bytes',
   /** Runs requests and never answers them. */
   mute: 'mute',
+  /** Sends nothing, and goes on when the fault is over. */
+  silent: 'silent',
   /** Sends bytes that are not HTTP, without end. */
   endlessGarbage: 'endless-garbage',
   /** Sends blank lines before the status line, without end. */
@@ -88,6 +90,9 @@
 
 const CLOSE_DELIMITED_FAULTS = new Set<TargetFault>([TargetFault.closeDelimited, TargetFault.closeInsideEvent, TargetFault.resetBetweenEvents])
 
+/** Interval at which a silent target checks whether it goes on, in milliseconds. */
+const SILENCE_CHECK_INTERVAL_MS = 10
+
 const MISDIRECTED_REQUEST = 421
 
 const FILLER = 'x'.repeat(65_536)
@@ -199,12 +204,17 @@
       const endless = endlessAnswers[this.fault]?.(`HTTP/1.1 200 OK\r\nAttempt-Id: ${attemptId}\r\nReplica-Seal: seal-${this.options.id}\r\n`)
       if (endless !== undefined) { await this.#sendUntilClosed(message.socket, endless); return }
       await sleep(this.options.workMs)
+      await this.#waitUntilNotSilent()
       await this.#finishRun(message, response, run, body)
     } finally {
       this.#inProgress -= 1
     }
   }
 
+  async #waitUntilNotSilent (): Promise<void> {
+    while (this.fault === TargetFault.silent) await sleep(SILENCE_CHECK_INTERVAL_MS)
+  }
+
   async #sendUntilClosed (socket: net.Socket, { start, repeated }: EndlessAnswer): Promise<void> {
     this.endlessAnswers += 1
     const closed = new Promise<void>((resolve) => { socket.on('close', () => { resolve() }) })
@@ -282,6 +292,7 @@
         message.socket.resetAndDestroy()
         return
       }
+      await this.#waitUntilNotSilent()
       response.write(`id: ${id}\ndata: piece ${id} of ${run.attemptId}\n\n`)
       run.sentEvents += 1
       await sleep(eventIntervalMs)
