Keep a silent target's answer until another target answers, also while the gateway is leaving

Callers saw resumable streams cut, most of them around SIGTERM, though the target went on a second later. The gateway dropped a stream after 1.2 s of silence, or three latency objectives, before it knew of a target that would continue it; a target that was full, or the lack of one, then ended the answer. A leaving gateway asked LeavingAdmission before each send and so continued none.

A silent target now keeps its send. Another one is asked as well where one takes the call at once, and the first that has something for the caller ends the other (AnswerRace). What has begun is not asked to start again, so that a leaving gateway continues it. Silence is counted from the last bytes that were read and not while the caller reads no further, and is checked again after a poll, since a process that was paused finds its timers overdue before its sockets are read.

--- a/packages/decisions/src/target-board.ts
+++ b/packages/decisions/src/target-board.ts
@@ -1,7 +1,7 @@
 import * as types from './agreement-types.js'
 
 /** Outcome of a dispatch to a target, as far as it concerns the target's health. */
-export const TargetResult = { served: 'served', refused: 'refused', failed: 'failed', unreachable: 'unreachable' } as const
+export const TargetResult = { served: 'served', refused: 'refused', failed: 'failed', unreachable: 'unreachable', undecided: 'undecided' } as const
 export type TargetResult = typeof TargetResult[keyof typeof TargetResult]
 
 /** Half-life of a target's failure ratio. */
@@ -188,6 +188,7 @@
 }
 
 function updateHealth (target: TrackedTarget, result: TargetResult, now: number): void {
+  if (result === TargetResult.undecided) return
   if (result === TargetResult.refused) {
     target.backoffUntil = Math.max(target.backoffUntil, now + REFUSED_BACKOFF_MS)
     return
--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -1,6 +1,7 @@
 import type * as adapter from '@acaciaweir/platform-adapter'
 import * as runtime from '@acaciaweir/runtime'
 import type * as http from 'node:http'
+import type * as answerRaces from './answer-race.js'
 import * as answers from './answers.js'
 import type * as calls from './call.js'
 import * as drain from './drain.js'
@@ -19,19 +20,24 @@
 export class AnswerRelay {
   readonly #call: calls.Call
   readonly #answer: adapter.targetRequest.TargetResponse
+  readonly #race: answerRaces.AnswerRace
+  readonly #send: answerRaces.SendInProgress
   #chunks: Buffer[] = []
   #receivedBytes = 0
   #isForwarding = false
 
-  constructor (call: calls.Call, answer: adapter.targetRequest.TargetResponse) {
+  constructor (call: calls.Call, answer: adapter.targetRequest.TargetResponse, race: answerRaces.AnswerRace, send: answerRaces.SendInProgress) {
     this.#call = call
     this.#answer = answer
+    this.#race = race
+    this.#send = send
   }
 
   /** Relays until the target's answer ends, and ends the caller's response only if the answer is complete. */
   async run (source: http.IncomingMessage): Promise<flows.SendOutcome> {
     try {
       for await (const chunk of source) {
+        this.#send.recordProgress()
         this.#receivedBytes += (chunk as Buffer).length
         if (this.#receivedBytes > MAXIMUM_ANSWER_BYTES) return this.#interruptedOutcome('the answer is too large')
         if (this.#isForwarding) await this.#forward(chunk as Buffer)
@@ -48,7 +54,7 @@
     this.#chunks.push(chunk)
     if (this.#receivedBytes <= MAXIMUM_BUFFERED_BYTES) return true
     const { response } = this.#call
-    if (!this.#isForwardable || response.headersSent || response.destroyed) return false
+    if (!this.#isForwardable || response.headersSent || response.destroyed || !this.#race.claim(this.#send)) return false
     this.#isForwarding = true
     response.writeHead(this.#answer.status, this.#answer.forwardedHeaders)
     await this.#forward(this.#takeBody())
@@ -56,7 +62,7 @@
   }
 
   async #forward (chunk: Buffer): Promise<void> {
-    if (!this.#call.response.write(chunk)) await drain.waitForDrain(this.#call.response)
+    if (!this.#call.response.write(chunk)) await this.#send.waitForCaller(drain.waitForDrain(this.#call.response))
   }
 
   #complete (): flows.SendOutcome {
@@ -69,6 +75,8 @@
     if (this.#answer.wasNotExecuted) return this.#notForwardedOutcome('')
     const buffered = { status, headers: forwardedHeaders, body: this.#takeBody() }
     if (status >= 500) return { kind: 'failed', answer: buffered }
+    if (this.#call.response.headersSent) return this.#notForwardedOutcome('the answer does not continue the stream')
+    if (!this.#race.claim(this.#send)) return { kind: 'overtaken' }
     answers.forwardAnswer(this.#call.response, buffered)
     return { kind: 'answered', status }
   }
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -3,6 +3,8 @@
 import * as runtime from '@acaciaweir/runtime'
 import * as pattern from 'ts-pattern'
 import type * as http from 'node:http'
+import * as timers from 'node:timers/promises'
+import * as answerRaces from './answer-race.js'
 import * as answerRelays from './answer-relay.js'
 import * as answers from './answers.js'
 import type * as calls from './call.js'
@@ -24,10 +26,13 @@
 /** Largest part by which the retry-after delay of a refusal is lengthened at random where all targets rest. Callers would otherwise return in the same moment. */
 const REST_RETRY_JITTER_SHARE = 0.25
 
-/** Share of the remaining time that one send of a repeatable request may take while another target may still be tried. */
-const MAXIMUM_SEND_SHARE = 0.5
+/** Share of the remaining time after which a silent target of a repeatable request is not the only one asked. */
+const MAXIMUM_SILENCE_SHARE = 0.5
 
-/** Shortest silence after which a repeatable streaming request moves to another target, in milliseconds. */
+/** Time between two tries to find a second target for a request whose target is silent, in milliseconds. */
+const SUCCESSOR_INTERVAL_MS = 300
+
+/** Shortest silence after which a repeatable streaming request is also sent to another target, in milliseconds. */
 const MINIMUM_STREAM_SILENCE_MS = 1200
 
 /** The same as a multiple of the route's latency objective; the longer of both applies. Callers give up after four objectives. */
@@ -65,6 +70,8 @@
   | { kind: 'failed', answer: answers.BufferedAnswer }
   /** The stream ended early, after the caller received events. */
   | { kind: 'cut', reason: string, isConnectionLost: boolean }
+  /** Another send of the call began to answer the caller first, or the call ended. The target may have run the request. */
+  | { kind: 'overtaken' }
 
 /** Serves admitted calls: reserves tokens, chooses targets, sends, retries where that is safe, and settles the reservation. */
 export class RequestFlow {
@@ -131,41 +138,84 @@
   }
 
   async #sendWithRetries (call: calls.Call): Promise<string> {
+    const race = new answerRaces.AnswerRace()
     const triedTargets = new Set<string>()
-    let possibleRuns = 0
     let lastFailure: SendOutcome | undefined
-    while (call.abortReason === undefined) {
-      if (triedTargets.size > 0 && this.#isHeldBack(call)) {
-        call.noRetryReason = 'held-part'
-        break
+    try {
+      while (call.abortReason === undefined) {
+        if (race.size === 0 && !await this.#startSend(call, race, triedTargets)) break
+        const outcome = await race.next(this.#timeToSuccessorMs(call, race))
+        if (outcome === undefined) await this.#startSuccessor(call, race, triedTargets)
+        else if (outcome.kind === 'answered') return 'answered'
+        else if (outcome.kind !== 'overtaken') {
+          lastFailure = outcome
+          if (race.size === 0 && !this.#mayTryAnother(call, outcome)) break
+        }
       }
-      const outcome = await this.#sendOnce(call, triedTargets)
-      if (outcome === undefined) break
-      if (outcome.kind === 'answered') return 'answered'
-      lastFailure = outcome
-      if (outcome.kind !== 'not-run') possibleRuns += 1
-      if (!this.#mayTryAnother(call, outcome, possibleRuns)) break
+    } finally {
+      await race.end()
     }
     return this.#endUnanswered(call, lastFailure)
   }
 
-  /** Sends the call to one more target. Returns undefined if none takes it, or a retry is not allowed. */
-  async #sendOnce (call: calls.Call, triedTargets: Set<string>): Promise<SendOutcome | undefined> {
+  /** Sends the call to the first or, after a failure, another target. Returns false if none takes it, or a retry is not allowed. */
+  async #startSend (call: calls.Call, race: answerRaces.AnswerRace, triedTargets: Set<string>): Promise<boolean> {
+    if (triedTargets.size > 0 && this.#isHeldBack(call)) {
+      call.noRetryReason = 'held-part'
+      return false
+    }
     const chosen = await this.#options.chooser.place(call, triedTargets)
     if (chosen === undefined) {
       call.noRetryReason = this.#options.chooser.mayStart(call) ? 'no-target' : 'gateway-leaving'
-      return undefined
+      return false
     }
-    try {
-      if (triedTargets.size > 0 && !this.#consumeRetry(call)) {
-        call.noRetryReason = 'retry-budget-used'
-        return undefined
-      }
-      triedTargets.add(chosen.placement.target.entry.id)
-      return await this.#send(call, chosen.placement)
-    } finally {
+    if (triedTargets.size > 0 && !this.#consumeRetry(call)) {
+      call.noRetryReason = 'retry-budget-used'
       chosen.release()
+      return false
     }
+    this.#addSend(call, race, triedTargets, chosen)
+    return true
+  }
+
+  /** Returns the time until a silent target is not the only one asked, in milliseconds; Infinity if the call may not go to another one. */
+  #timeToSuccessorMs (call: calls.Call, race: answerRaces.AnswerRace): number {
+    if (call.route.repetition === Repetition.atMostOnce || this.#possibleRuns(call) + race.size >= call.route.maximumTargets) return Infinity
+    if (call.response.headersSent && !call.route.resumable) return Infinity
+    return race.isSilent ? SUCCESSOR_INTERVAL_MS : race.timeToSilenceMs()
+  }
+
+  /** Sends a call whose targets are silent to another one too, if one takes it at once. */
+  async #startSuccessor (call: calls.Call, race: answerRaces.AnswerRace, triedTargets: Set<string>): Promise<void> {
+    // After a pause of this process, answers may wait in the sockets while the timers are overdue.
+    await timers.setImmediate()
+    if (!race.isSilent) return
+    this.#recordSilence(race)
+    if (this.#isHeldBack(call)) return
+    const chosen = await this.#options.chooser.placeAtOnce(call, triedTargets)
+    if (chosen === undefined) return
+    if (call.abortReason !== undefined || !race.isSilent || !this.#consumeRetry(call)) chosen.release()
+    else this.#addSend(call, race, triedTargets, chosen)
+  }
+
+  /** Counts a silence against the target once, so that other requests prefer other targets. */
+  #recordSilence (race: answerRaces.AnswerRace): void {
+    for (const send of race.silentSends) {
+      if (!send.isSilenceRecorded) this.#options.board.recordResult(send.target.id, TargetResult.failed, this.#options.clock.now())
+      send.isSilenceRecorded = true
+    }
+  }
+
+  #addSend (call: calls.Call, race: answerRaces.AnswerRace, triedTargets: Set<string>, chosen: targetChoosers.ChosenTarget): void {
+    const { entry } = chosen.placement.target
+    triedTargets.add(entry.id)
+    const send = new answerRaces.SendInProgress(entry, this.#options.clock, this.#maximumSilenceMs(call))
+    race.add(send, this.#send(call, chosen.placement, race, send).finally(() => { chosen.release() }))
+  }
+
+  /** Number of ended sends after which the request may have run. */
+  #possibleRuns (call: calls.Call): number {
+    return call.sends.filter((send) => send.result !== 'not-run').length
   }
 
   /** Counts a retry against this gateway's part of the fleet's retry budget. Returns false where that is used up. */
@@ -177,21 +227,21 @@
    * Returns whether the call may go to another target after a failed send. An at-most-once request may do so only where the target did
    * not run it, and a stream that already reached the caller only where the route is resumable.
    */
-  #mayTryAnother (call: calls.Call, outcome: SendOutcome, possibleRuns: number): boolean {
+  #mayTryAnother (call: calls.Call, outcome: SendOutcome): boolean {
     if (call.abortReason !== undefined) return false
     if (outcome.kind === 'not-run') return true
-    call.noRetryReason = this.#noRetryReason(call, outcome, possibleRuns)
+    call.noRetryReason = this.#noRetryReason(call, outcome)
     return call.noRetryReason === undefined
   }
 
-  #noRetryReason (call: calls.Call, outcome: SendOutcome, possibleRuns: number): calls.NoRetryReason | undefined {
+  #noRetryReason (call: calls.Call, outcome: SendOutcome): calls.NoRetryReason | undefined {
     if (isConnectionLost(outcome) && !this.#options.promptParts.mayRepeat(call.sharedParts)) return 'connection-lost-under-part'
     if (call.route.repetition === Repetition.atMostOnce) return 'not-repeatable'
-    if (possibleRuns >= call.route.maximumTargets) return 'all-attempts-used'
+    if (this.#possibleRuns(call) >= call.route.maximumTargets) return 'all-attempts-used'
     return outcome.kind === 'cut' && !call.route.resumable ? 'not-resumable' : undefined
   }
 
-  async #send (call: calls.Call, placement: decisions.placement.Placement): Promise<SendOutcome> {
+  async #send (call: calls.Call, placement: decisions.placement.Placement, race: answerRaces.AnswerRace, send: answerRaces.SendInProgress): Promise<SendOutcome> {
     const { board, clock } = this.#options
     const target = placement.target.entry
     const startedAt = clock.now()
@@ -204,7 +254,8 @@
     const span = runtime.telemetry.startSpan('target', call.span, { target: target.id })
     board.recordStart(target.id, unreadTokens, call.request.promptParts.map((part) => part.id), startedAt)
     call.limitPerSecond = undefined
-    const outcome = await this.#sendAndReceive(call, placement, onPromptRead, span)
+    const ended = await this.#sendAndReceive(call, placement, onPromptRead, span, race, send)
+    const outcome: SendOutcome = send.isOvertaken && ended.kind !== 'not-run' ? { kind: 'overtaken' } : ended
     onPromptRead()
     board.recordEnd(target.id, targetResultOf(call, outcome), clock.now())
     this.#recordPromptParts(call, target.id, outcome)
@@ -224,14 +275,13 @@
     }
   }
 
-  async #sendAndReceive (call: calls.Call, placement: decisions.placement.Placement, onPromptRead: () => void, span: Parameters<typeof runtime.telemetry.headersFromSpan>[0]): Promise<SendOutcome> {
-    const sendController = new AbortController()
+  async #sendAndReceive (call: calls.Call, placement: decisions.placement.Placement, onPromptRead: () => void, span: Parameters<typeof runtime.telemetry.headersFromSpan>[0], race: answerRaces.AnswerRace, send: answerRaces.SendInProgress): Promise<SendOutcome> {
     const sentAt = this.#options.clock.now()
-    const abortSend = (): void => { sendController.abort() }
+    const abortSend = (): void => { send.abort() }
     call.abortController.signal.addEventListener('abort', abortSend)
     try {
-      const response = await this.#options.connections.send(this.#createTargetCall(call, placement, sendController.signal, span), this.#options.connectionLimit(call.service))
-      return await this.#receiveAnswer(call, placement.target.entry, sentAt, response, onPromptRead, sendController)
+      const response = await this.#options.connections.send(this.#createTargetCall(call, placement, send.signal, span), this.#options.connectionLimit(call.service))
+      return await this.#receiveAnswer(call, placement.target.entry, sentAt, response, onPromptRead, race, send)
     } catch (error) {
       const { knowledge, message, isConnectionLost } = toTargetError(error)
       return knowledge === DispatchKnowledge.neverSent ? { kind: 'not-run', reason: message } : { kind: 'lost', reason: message, isConnectionLost }
@@ -257,37 +307,36 @@
       path: call.request.pathAndQuery,
       headers: { ...adapter.targetRequest.encodeTargetHeaders(call.request, facts, call.body.length), ...runtime.telemetry.headersFromSpan(span) },
       body: call.body,
-      timeoutMs: this.#answerTimeoutMs(call, remainingMs),
+      timeoutMs: Math.max(1, remainingMs),
       signal
     }
   }
 
-  /** Longest silence of a target, in milliseconds. Shorter where another target may take over. */
-  #answerTimeoutMs (call: calls.Call, remainingMs: number): number {
-    const mayTryAnother = call.route.repetition === Repetition.repeatable && call.sends.length + 1 < call.route.maximumTargets
-    if (!mayTryAnother) return Math.max(1, remainingMs)
-    const maximumSilenceMs = call.route.streaming ? Math.max(MINIMUM_STREAM_SILENCE_MS, call.route.objectiveMs * STREAM_SILENCE_OBJECTIVE_FACTOR) : Infinity
-    return Math.max(1, Math.min(remainingMs * MAXIMUM_SEND_SHARE, maximumSilenceMs))
+  /** Returns the silence of a target after which another one may be asked too, in milliseconds. */
+  #maximumSilenceMs (call: calls.Call): number {
+    const streamSilenceMs = call.route.streaming ? Math.max(MINIMUM_STREAM_SILENCE_MS, call.route.objectiveMs * STREAM_SILENCE_OBJECTIVE_FACTOR) : Infinity
+    return Math.min((call.deadlineAt - this.#options.clock.now()) * MAXIMUM_SILENCE_SHARE, streamSilenceMs)
   }
 
-  async #receiveAnswer (call: calls.Call, target: decisions.agreementTypes.TargetEntry, sentAt: number, response: http.IncomingMessage, onPromptRead: () => void, sendController: AbortController): Promise<SendOutcome> {
+  async #receiveAnswer (call: calls.Call, target: decisions.agreementTypes.TargetEntry, sentAt: number, response: http.IncomingMessage, onPromptRead: () => void, race: answerRaces.AnswerRace, send: answerRaces.SendInProgress): Promise<SendOutcome> {
+    send.recordProgress()
     const answer = adapter.targetRequest.decodeTargetResponse(response, call.request.attemptId)
     this.#options.chooser.recordAnswer(call, target, answer, sentAt)
     if (!answer.belongsToAttempt) {
-      sendController.abort()
+      send.abort()
       response.destroy()
       return { kind: 'lost', reason: 'the answer belongs to another request', isConnectionLost: false }
     }
     if (call.route.streaming && isSuccess(answer.status)) {
-      const relay = new relays.StreamRelay(call, answer, this.#options.clock, () => {
+      const relay = new relays.StreamRelay(call, answer, race, send, this.#options.clock, () => {
         onPromptRead()
         this.#options.onFirstEvent(this.#options.clock.now() - call.arrival.at)
       })
       const outcome = await relay.run(response)
-      if (outcome.kind !== 'answered') sendController.abort()
+      if (outcome.kind !== 'answered') send.abort()
       return outcome
     }
-    return await new answerRelays.AnswerRelay(call, answer).run(response)
+    return await new answerRelays.AnswerRelay(call, answer, race, send).run(response)
   }
 
   /** Ends a call that no target answered. Returns the outcome for the log and the metrics. */
@@ -313,8 +362,8 @@
       })
       .otherwise(() => {
         if (call.sends.some((send) => send.result !== 'not-run')) {
-          this.#refuse(call, 502, 'no target can take the request now')
-          return 'answer-lost'
+          this.#refuse(call, isLate ? 504 : 502, isLate ? 'no answer in time' : 'no target can take the request now')
+          return isLate ? 'timed-out' : 'answer-lost'
         }
         if (call.heldPart !== undefined) return this.#refuseHeldPart(call)
         if (!this.#options.chooser.mayStart(call)) {
@@ -362,6 +411,7 @@
   if (call.abortReason === 'caller') return TargetResult.served
   return pattern.match(outcome)
     .with({ kind: 'answered' }, () => TargetResult.served)
+    .with({ kind: 'overtaken' }, () => TargetResult.undecided)
     .with({ kind: 'not-run' }, ({ reason }) => reason.startsWith('status') ? TargetResult.refused : TargetResult.unreachable)
     .otherwise(() => TargetResult.failed)
 }
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -2,6 +2,7 @@
 import type * as adapter from '@acaciaweir/platform-adapter'
 import * as runtime from '@acaciaweir/runtime'
 import type * as http from 'node:http'
+import type * as answerRaces from './answer-race.js'
 import type * as calls from './call.js'
 import * as drain from './drain.js'
 import type * as flows from './request-flow.js'
@@ -16,13 +17,17 @@
 export class StreamRelay {
   readonly #call: calls.Call
   readonly #answer: adapter.targetRequest.TargetResponse
+  readonly #race: answerRaces.AnswerRace
+  readonly #send: answerRaces.SendInProgress
   readonly #clock: decisions.clock.Clock
   readonly #onFirstEvent: () => void
   readonly #splitter = new runtime.eventSplitter.EventSplitter(MAXIMUM_EVENT_BYTES)
 
-  constructor (call: calls.Call, answer: adapter.targetRequest.TargetResponse, clock: decisions.clock.Clock, onFirstEvent: () => void) {
+  constructor (call: calls.Call, answer: adapter.targetRequest.TargetResponse, race: answerRaces.AnswerRace, send: answerRaces.SendInProgress, clock: decisions.clock.Clock, onFirstEvent: () => void) {
     this.#call = call
     this.#answer = answer
+    this.#race = race
+    this.#send = send
     this.#clock = clock
     this.#onFirstEvent = onFirstEvent
   }
@@ -30,19 +35,25 @@
   /** Relays until the target's stream ends, and ends the caller's response only if the stream is complete. */
   async run (source: http.IncomingMessage): Promise<flows.SendOutcome> {
     try {
-      for await (const chunk of source) await this.#forwardEvents(chunk as Buffer)
+      for await (const chunk of source) {
+        if (!await this.#forwardEvents(chunk as Buffer)) return { kind: 'overtaken' }
+      }
     } catch (error) {
       return this.#interruptedOutcome((error as Error).message, runtime.httpCall.isConnectionLost(error))
     }
     if (!source.complete || this.#splitter.bufferedBytes > 0) return this.#interruptedOutcome('the stream ended early', true)
+    if (!this.#race.claim(this.#send)) return { kind: 'overtaken' }
     this.#sendHead()
     this.#call.response.end()
     return { kind: 'answered', status: this.#answer.status }
   }
 
-  async #forwardEvents (chunk: Buffer): Promise<void> {
+  /** Returns false if another send has begun to answer the caller. */
+  async #forwardEvents (chunk: Buffer): Promise<boolean> {
+    this.#send.recordProgress()
     const events = this.#splitter.push(chunk)
-    if (events.length === 0) return
+    if (events.length === 0) return true
+    if (!this.#race.claim(this.#send)) return false
     this.#sendHead()
     for (const event of events) {
       this.#call.events += 1
@@ -50,7 +61,8 @@
     }
     const { response } = this.#call
     const hasRoom = response.write(events.length === 1 ? events[0].bytes : Buffer.concat(events.map((event) => event.bytes)))
-    if (!hasRoom) await drain.waitForDrain(response)
+    if (!hasRoom) await this.#send.waitForCaller(drain.waitForDrain(response))
+    return true
   }
 
   #sendHead (): void {
--- a/packages/gateway/src/target-chooser.ts
+++ b/packages/gateway/src/target-chooser.ts
@@ -64,8 +64,20 @@
     }
   }
 
-  /** Returns false where the gateway is leaving and the call could outlast it. */
+  /** Chooses a healthy target that takes the call now. Returns undefined if that takes waiting for more than a permit. */
+  async placeAtOnce (call: calls.Call, triedTargets: ReadonlySet<string>): Promise<ChosenTarget | undefined> {
+    const { clock, permits, slots } = this.#options
+    const placement = this.#choose(call, triedTargets)
+    if (placement === undefined || placement.target.backoffUntil > clock.now()) return undefined
+    const release = slots.take(placement.target.entry)
+    if (await permits.acquire(placement.target.entry) && this.#isStillWanted(placement.target.entry)) return { placement, release }
+    release()
+    return undefined
+  }
+
+  /** Returns false where the gateway is leaving and the call could outlast it. A call that may have run can't be refused, so that it goes on. */
   mayStart (call: calls.Call): boolean {
+    if (call.sends.some((send) => send.result !== 'not-run')) return true
     const now = this.#options.clock.now()
     return this.#options.leavingAdmission.mayStart(call.route.name, call.deadlineAt - now, now)
   }
--- a/packages/gateway/test/target-chooser.test.ts
+++ b/packages/gateway/test/target-chooser.test.ts
@@ -48,7 +48,7 @@
         availabilityZone: 'zone-a',
         announce: () => {}
       })
-      const call = { service: 'engines', route: { name: 'plan' }, deadlineAt: Infinity, rank: 0, request: { promptParts: [], promptTokens: 0 }, abortController: new AbortController() } as unknown as calls.Call
+      const call = { service: 'engines', sends: [], route: { name: 'plan' }, deadlineAt: Infinity, rank: 0, request: { promptParts: [], promptTokens: 0 }, abortController: new AbortController() } as unknown as calls.Call
       const placement = chooser.place(call, new Set())
       await clock.runUntil(PERMIT_MS / 2)
       const answer = { belongsToAttempt: true, isLeaving: false, restMs: 5000, limitPerSecond: undefined } as unknown as adapter.targetRequest.TargetResponse
