Count a request of a gateway until its answer has been written out

Callers that had sent several requests on a connection and read slowly got only a part of their answers from a gateway that was told to stop, even when they read seconds before the end of the grace period. The gateway counted a request as done once its answer had been handed to Node, and so stopped as soon as it no longer listened. Node's closeIdleConnections and http.Server.close made it worse: they take a connection for idle whose answer has ended but has not been written out, so that it was closed 1.5 s after SIGTERM.

A request now counts until its answer has been written out or its connection has closed, refusals and requests that failed included. A connection counts as idle only while Node has set its keep-alive time-out, which it does once the last answer has been written out. The grace period still bounds the wait: callers that never read are cut when it ends.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -2,7 +2,7 @@
 import * as adapter from '@acaciaweir/platform-adapter'
 import * as runtime from '@acaciaweir/runtime'
 import * as http from 'node:http'
-import type * as net from 'node:net'
+import * as net from 'node:net'
 import * as answers from './answers.js'
 import type * as calls from './call.js'
 import * as logs from './decision-log.js'
@@ -54,6 +54,8 @@
   readonly #server: http.Server
   readonly #readDelayMeter = new runtime.readDelay.ReadDelayMeter()
   readonly #requestsOnConnection = new WeakMap<net.Socket, number>()
+  /** Answers that have been handed to Node but not yet written out, for each open connection. */
+  readonly #unwrittenAnswers = new Map<net.Socket, Set<http.ServerResponse>>()
   /** Aborts of the calls in progress. */
   readonly #aborts = new Set<(reason: calls.AbortReason) => void>()
   readonly #queue: runtime.admissionQueue.AdmissionQueue
@@ -68,9 +70,13 @@
       clock: options.clock,
       dropWaitingConnections: () => { this.#dropWaitingConnections() }
     })
-    this.#server.on('connection', () => { this.#queue.recordConnection() })
+    this.#server.on('connection', (socket) => {
+      this.#queue.recordConnection()
+      this.#trackConnection(socket)
+    })
   }
 
+  /** Requests whose answers have not been written out and whose callers are connected, or that are still being served. */
   get inProgress (): number {
     return this.#inProgress
   }
@@ -110,12 +116,15 @@
   }
 
   closeIdleConnections (): void {
-    this.#server.closeIdleConnections()
+    for (const socket of this.#unwrittenAnswers.keys()) {
+      if (runtime.httpServer.isIdle(socket)) socket.destroy()
+    }
   }
 
   /** Stops accepting connections. */
   stopListening (): void {
-    this.#server.close()
+    // The close method of http.Server would close connections whose answers have not been written out, too.
+    net.Server.prototype.close.call(this.#server)
   }
 
   closeNow (): void {
@@ -123,16 +132,26 @@
     this.#server.closeAllConnections()
   }
 
+  #trackConnection (socket: net.Socket): void {
+    const unwritten = new Set<http.ServerResponse>()
+    this.#unwrittenAnswers.set(socket, unwritten)
+    socket.on('close', () => {
+      this.#unwrittenAnswers.delete(socket)
+      this.#inProgress -= unwritten.size
+      unwritten.clear()
+    })
+  }
+
   #enqueue (message: http.IncomingMessage, response: http.ServerResponse): void {
     this.#inProgress += 1
     const arrival = this.#recordArrival(message)
     const fail = (error: Error): void => { this.#fail(message, response, error) }
     this.#queue.push({
       hasLeft: () => message.socket.destroyed || message.socket.readableEnded,
-      start: () => { this.#handle(message, response, arrival).then(() => { this.#inProgress -= 1 }, fail) },
+      start: () => { this.#handle(message, response, arrival).then(() => { this.#endWhenWritten(message, response) }, fail) },
       reject: () => {
         this.#refuse(message, response, { status: 503, reason: 'the gateway is overloaded', retryAfterMs: this.#overloadRetryAfterMs() }, arrival, this.#options.routeTable())
-        this.#inProgress -= 1
+        this.#endWhenWritten(message, response)
       },
       drop: () => {
         this.#recordUnstarted(message, arrival)
@@ -142,12 +161,25 @@
     })
   }
 
+  /** Counts a request as in progress until its answer has been written out or its connection has closed. */
+  #endWhenWritten (message: http.IncomingMessage, response: http.ServerResponse): void {
+    const unwritten = this.#unwrittenAnswers.get(message.socket)
+    if (unwritten === undefined || response.writableFinished) {
+      this.#inProgress -= 1
+      return
+    }
+    unwritten.add(response)
+    response.on('finish', () => {
+      if (unwritten.delete(response)) this.#inProgress -= 1
+    })
+  }
+
   /** Ends a request after an error in this process. */
   #fail (message: http.IncomingMessage, response: http.ServerResponse, error: Error): void {
-    this.#inProgress -= 1
     this.#options.logger.error({ event: 'request-error', request: adapter.callerRequest.attemptIdForLog(message), reason: error.stack })
     if (response.headersSent) answers.abortResponse(response)
     else answers.sendRefusal(response, { status: 500, reason: 'internal error' })
+    this.#endWhenWritten(message, response)
   }
 
   /** Spreads the retries of the callers that are rejected at the same time. */
--- a/packages/runtime/src/http-server.ts
+++ b/packages/runtime/src/http-server.ts
@@ -63,6 +63,15 @@
   response.end(text)
 }
 
+/**
+ * Returns true if a connection of an HTTP server waits for its next request. Node sets a time-out on the connection once the last answer
+ * has been written out, and removes it when more data arrives. Its own closeIdleConnections method also closes connections whose answers
+ * have ended but have not been written out.
+ */
+export function isIdle (socket: net.Socket): boolean {
+  return (socket.timeout ?? 0) > 0
+}
+
 function failResponse (response: http.ServerResponse, error: Error): void {
   if (response.headersSent) {
     response.destroy()
