Let a leaving router write out the answers that it has handed over

Callers of a router that was told to stop got a cut answer if they had not read it yet. The router waited for its requests, which end when their answers have been handed to Node, and then closed its server. http.Server.close and closeIdleConnections close a connection whose answer has ended but has not been written out.

HttpServer.close now leaves connections open until they are idle, that is, until Node waits for their next request. Callers that never read must not keep the router from returning its allotment, so the router waits for five seconds at most and closes what is still open then.

--- a/packages/callers/src/caller-server.ts
+++ b/packages/callers/src/caller-server.ts
@@ -32,9 +32,12 @@
     return this.#server.listen(port, address)
   }
 
-  /** Stops accepting connections and resolves when all requests in progress have ended. */
-  close (): Promise<void> {
-    return this.#server.close()
+  /**
+   * Stops accepting connections and resolves when all requests in progress have ended and their answers have been written out. Closes the
+   * connections that are still open after `timeoutMs`.
+   */
+  close (timeoutMs: number): Promise<void> {
+    return this.#server.close(timeoutMs)
   }
 
   /** Stops accepting connections and closes the open ones, which interrupts requests in progress. */
--- a/packages/router-daemon/src/router.ts
+++ b/packages/router-daemon/src/router.ts
@@ -27,6 +27,9 @@
 
 const WITNESS_CHECK_INTERVAL_MS = 500
 
+/** Longest time for which a router that leaves waits until its callers have read their answers, in milliseconds. */
+const LAST_ANSWERS_TIMEOUT_MS = 5000
+
 /** Timeout of the last journal write at shutdown, and again of the recoveries in progress after it, in milliseconds. */
 const CLOSE_TIMEOUT_MS = 5000
 
@@ -109,7 +112,7 @@
     this.#isLeaving = true
     this.#logger.info({ event: 'leaving', serving: this.#requestsInProgress })
     while (this.#requestsInProgress > 0 || this.#lateSettlement.unsettledCount > 0) await this.#clock.sleep(20)
-    await this.#callerEdge.close()
+    await this.#callerEdge.close(LAST_ANSWERS_TIMEOUT_MS)
     await this.#endIncarnation(this.#currentIncarnation)
     await this.#stopTasks()
     this.#logger.info({ event: 'stopped' })
--- a/packages/runtime/src/http-server.ts
+++ b/packages/runtime/src/http-server.ts
@@ -1,19 +1,27 @@
 import * as http from 'node:http'
-import type * as net from 'node:net'
+import * as net from 'node:net'
 import * as reopenListener from './reopen-listener.js'
 
 /** Connections that may wait to be accepted. */
 const LISTEN_BACKLOG = 511
 
+/** Interval at which a closing server closes the connections that have become idle, in milliseconds. */
+const IDLE_CHECK_INTERVAL_MS = 20
+
 /** An HTTP server that can close without interrupting requests in progress. */
 export class HttpServer {
   readonly #server: http.Server
+  readonly #sockets = new Set<net.Socket>()
 
   constructor (handler: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>) {
     this.#server = http.createServer((request, response) => {
       handler(request, response).catch((error: Error) => { failResponse(response, error) })
     })
     this.#server.keepAliveTimeout = 60_000
+    this.#server.on('connection', (socket) => {
+      this.#sockets.add(socket)
+      socket.on('close', () => { this.#sockets.delete(socket) })
+    })
   }
 
   /** Reports each new connection. */
@@ -37,14 +45,30 @@
     })
   }
 
-  /** Stops accepting connections and resolves when all requests in progress have ended. */
-  close (): Promise<void> {
+  /**
+   * Stops accepting connections and resolves when all requests in progress have ended and their answers have been written out. Closes the
+   * connections that are still open after `timeoutMs`.
+   */
+  close (timeoutMs: number): Promise<void> {
     return new Promise((resolve) => {
-      this.#server.close(() => { resolve() })
-      this.#server.closeIdleConnections()
+      const interval = setInterval(() => { this.#closeIdleConnections() }, IDLE_CHECK_INTERVAL_MS)
+      const timer = setTimeout(() => { this.#server.closeAllConnections() }, timeoutMs)
+      // The close method of http.Server would close connections whose answers have not been written out, too.
+      net.Server.prototype.close.call(this.#server, () => {
+        clearInterval(interval)
+        clearTimeout(timer)
+        resolve()
+      })
+      this.#closeIdleConnections()
     })
   }
 
+  #closeIdleConnections (): void {
+    for (const socket of this.#sockets) {
+      if (isIdle(socket)) socket.destroy()
+    }
+  }
+
   /** Stops accepting connections and closes the open ones, which interrupts requests in progress. */
   closeNow (): void {
     this.#server.close()
--- a/packages/stand-ins/src/service-server.ts
+++ b/packages/stand-ins/src/service-server.ts
@@ -15,6 +15,8 @@
   workMs: number
   /** Runs requests and closes the connection without an answer. */
   dropAnswers: boolean
+  /** Least size of an answer, in bytes. */
+  answerBytes: number
 }
 
 /** A stand-in for a plain service behind a router: records each run and echoes the request's path and tag. */
@@ -24,7 +26,7 @@
   readonly #server = new runtime.httpServer.HttpServer((request, response) => this.#handle(request, response))
 
   constructor (options: Partial<ServiceOptions> = {}) {
-    this.options = { workMs: 5, dropAnswers: false, ...options }
+    this.options = { workMs: 5, dropAnswers: false, answerBytes: 0, ...options }
   }
 
   listen (port: number, address: string): Promise<number> {
@@ -46,7 +48,9 @@
     this.runs.push({ requestId: String(request.headers['x-request-id']), tag: parseTag(body), startedAt: Date.now() })
     await timers.setTimeout(this.options.workMs)
     if (this.options.dropAnswers) { response.destroy(); return }
-    runtime.httpServer.sendJson(response, 200, { ok: true, path: request.url, tag: parseTag(body) })
+    const { answerBytes } = this.options
+    const answer = { ok: true, path: request.url, tag: parseTag(body), filler: answerBytes === 0 ? undefined : ' '.repeat(answerBytes) }
+    runtime.httpServer.sendJson(response, 200, answer)
   }
 }
 
