Count only attempts without a new frame against the limit of a router's resumes

What callers saw: a stream that is cut more often than six times ended with answer_cut, though its engine ran on and each resume had brought new frames. The router then cancelled the run.

Cause: FrameRelay counted all attempts over the life of an answer.

Why this works: a new frame shows that the engine still serves the answer, so the count and the backoff start again. An engine that no longer knows the request is given up after as many attempts as before.

--- a/packages/router-daemon/src/frame-relay.ts
+++ b/packages/router-daemon/src/frame-relay.ts
@@ -7,6 +7,7 @@
 import type * as contexts from './call-context.js'
 import * as settlers from './intent-settler.js'
 
+/** Consecutive attempts to resume a cut answer that bring no new frame. */
 const MAXIMUM_RESUME_ATTEMPTS = 6
 
 /** Backoff before the first attempt to resume a cut answer, in milliseconds. Doubles with each attempt. */
@@ -83,10 +84,12 @@
 
   async #relayWithResume (): Promise<LastFrame> {
     let failure: targets.targetError.TargetError | undefined
-    for (let attempt = 0; attempt <= MAXIMUM_RESUME_ATTEMPTS; attempt += 1) {
+    let attemptsWithoutFrame = 0
+    for (let isFirst = true; attemptsWithoutFrame <= MAXIMUM_RESUME_ATTEMPTS; isFirst = false) {
+      const offset = this.#sequence.nextOffset
       try {
-        if (attempt > 0) await this.#context.clock.sleep(INITIAL_RESUME_BACKOFF_MS * 2 ** (attempt - 1), this.#stopController.signal)
-        const last = await this.#relayUntilLast(this.#openStream(attempt))
+        if (!isFirst) await this.#context.clock.sleep(INITIAL_RESUME_BACKOFF_MS * 2 ** Math.max(0, attemptsWithoutFrame - 1), this.#stopController.signal)
+        const last = await this.#relayUntilLast(this.#openStream(isFirst))
         if (last !== undefined) {
           this.#recordAnswer()
           return last
@@ -95,9 +98,10 @@
         failure = toTargetError(error, this.#request.target)
         if (failure.isConnectionLost && failure.knowledge !== decisions.retryRules.DispatchKnowledge.neverSent) this.#recordLoss()
         if (this.#stopController.signal.aborted) break
-        if (attempt === 0 && this.#body !== undefined && failure.knowledge === decisions.retryRules.DispatchKnowledge.neverSent) throw failure
+        if (isFirst && this.#body !== undefined && failure.knowledge === decisions.retryRules.DispatchKnowledge.neverSent) throw failure
         this.#context.logger.warn({ event: 'answer-cut', requestId: this.#request.requestId, step: failure.step, peer: 'target', target: this.#request.target, reason: failure.message })
       }
+      attemptsWithoutFrame = this.#sequence.nextOffset > offset ? 0 : attemptsWithoutFrame + 1
     }
     return await this.#cancelAtTarget(failure)
   }
@@ -112,8 +116,8 @@
     promptParts.recordLoss(this.#sharedParts, this.#envelope.caller.account, this.#request.target, clock.now())
   }
 
-  #openStream (attempt: number): AsyncGenerator<targets.engineTypes.EngineFrame> {
-    if (attempt === 0 && this.#body !== undefined) return this.#startStream(this.#body)
+  #openStream (isFirst: boolean): AsyncGenerator<targets.engineTypes.EngineFrame> {
+    if (isFirst && this.#body !== undefined) return this.#startStream(this.#body)
     return this.#requireEngine().resume(this.#request.requestId, this.#sequence.nextOffset, this.#request.incarnation.id, this.#stopController.signal)
   }
 
