Resume a router's answer at the engine that runs it, also after the configuration drops the engine

What callers saw: a stream that is cut once after its engine has left the configuration, or after the name of the engine has been given to another address, ended with answer_cut though the engine ran on.

Cause: FrameRelay looked the engine up by its name for each resume, in the configuration of that moment.

Why this works: only the engine that runs a request can continue its answer. The relay keeps its client; the directory closes clients only when the router stops. New requests are still placed by the configuration.

--- a/packages/proving/test/resume-at-engine.test.ts
+++ b/packages/proving/test/resume-at-engine.test.ts
@@ -4,6 +4,7 @@
 import * as chai from 'chai'
 import * as crypto from 'node:crypto'
 import * as http from 'node:http'
+import * as timers from 'node:timers/promises'
 import * as embedded from '../src/embedded-fleet.js'
 import * as examples from '../src/example-manifest.js'
 import * as relays from '../src/relay.js'
@@ -21,6 +22,9 @@
 /** Frames between two cuts. */
 const FRAMES_BETWEEN_CUTS = 10
 
+/** Time in which the router applies a changed configuration, in milliseconds. */
+const RECONFIGURATION_MS = 1500
+
 describe('a router whose engine runs on', () => {
   let fleet: embedded.EmbeddedFleet
   let relay: relays.Relay
@@ -95,4 +99,20 @@
     expect(cuts).to.equal(CUTS)
     expectWhole(body)
   }).timeout(30_000)
+
+  const changes: Array<{ name: string, targets: (engine: operators.manifest.ManifestTarget) => operators.manifest.ManifestTarget[] }> = [
+    { name: 'is dropped from the configuration', targets: () => [] },
+    { name: 'gives its name to another address', targets: (engine) => [{ ...engine, address: 'http://127.0.0.1:9' }] }
+  ]
+  for (const change of changes) {
+    it(`completes an answer that is cut after its engine ${change.name}`, async () => {
+      const answer = await open()
+      const reading = readAnswer(answer)
+      await apply({ ...manifest, targets: change.targets(manifest.targets[0]) })
+      await timers.setTimeout(RECONFIGURATION_MS)
+      cutConnections()
+
+      expectWhole(await reading)
+    }).timeout(30_000)
+  }
 })
--- a/packages/router-daemon/src/frame-relay.ts
+++ b/packages/router-daemon/src/frame-relay.ts
@@ -44,6 +44,8 @@
   readonly #sink: callers.callerTypes.AnswerSink
   readonly #span: api.Span
   readonly #sequence: decisions.frameSequence.FrameSequence
+  /** The engine that runs the request. It is kept if the configuration drops it, as no other engine can continue the answer. */
+  readonly #engine: targets.engineClient.EngineClient | undefined
   readonly #stopController = new AbortController()
   #hasTimedOut = false
   #isHandedOver = false
@@ -57,6 +59,7 @@
     this.#sink = options.sink
     this.#span = options.span
     this.#sequence = new decisions.frameSequence.FrameSequence(options.request.requestId, options.firstOffset)
+    this.#engine = options.context.targetDirectory.engineClient(options.request.target)
   }
 
   /**
@@ -177,8 +180,7 @@
   }
 
   #requireEngine (): targets.engineClient.EngineClient {
-    const engine = this.#context.targetDirectory.engineClient(this.#request.target)
-    if (engine !== undefined) return engine
+    if (this.#engine !== undefined) return this.#engine
     throw new targets.targetError.TargetError(this.#request.target, 'connect', 'the target is no longer configured', decisions.retryRules.DispatchKnowledge.neverSent)
   }
 }
