Keep a router's answer through a silence of its engine until the request's time limit

What callers saw: a stream whose engine was silent for 30 s ended without [DONE], though the engine ran on and the time limit was 120 s. By the code, the router gives up after about 27 s and cancels the run.

Cause: each idle timeout of 3 s counted as one of the attempts to resume.

Why this works: silence does not tell that the run has ended, and no other engine can continue it. An idle timeout now leads to a new connection without using up an attempt. Refusals and cuts without a new frame are counted as before. Cost: the caller of an engine that has vanished without refusing connections waits until its time limit.

Evidence: the case of resume-at-engine.test.ts with a silence of 30 s failed without this change (1 run) and passes with it (1 run); the three other cases pass with it (1 run each).

--- a/packages/proving/test/resume-at-engine.test.ts
+++ b/packages/proving/test/resume-at-engine.test.ts
@@ -22,6 +22,9 @@
 /** Frames between two cuts. */
 const FRAMES_BETWEEN_CUTS = 10
 
+/** Silence of the engine, in milliseconds. */
+const SILENCE_MS = 30_000
+
 /** Time in which the router applies a changed configuration, in milliseconds. */
 const RECONFIGURATION_MS = 1500
 
@@ -100,6 +103,16 @@
     expectWhole(body)
   }).timeout(30_000)
 
+  it('completes an answer after a long silence of its engine', async () => {
+    const answer = await open()
+    relay.setMode(relays.RelayMode.silent)
+    const reading = readAnswer(answer)
+    await timers.setTimeout(SILENCE_MS)
+    relay.setMode(relays.RelayMode.pass)
+
+    expectWhole(await reading)
+  }).timeout(60_000)
+
   const changes: Array<{ name: string, targets: (engine: operators.manifest.ManifestTarget) => operators.manifest.ManifestTarget[] }> = [
     { name: 'is dropped from the configuration', targets: () => [] },
     { name: 'gives its name to another address', targets: (engine) => [{ ...engine, address: 'http://127.0.0.1:9' }] }
--- a/packages/router-daemon/src/frame-relay.ts
+++ b/packages/router-daemon/src/frame-relay.ts
@@ -7,7 +7,7 @@
 import type * as contexts from './call-context.js'
 import * as settlers from './intent-settler.js'
 
-/** Consecutive attempts to resume a cut answer that bring no new frame. */
+/** Consecutive attempts to resume a cut answer that the engine or the network ends without a new frame. Silence does not count. */
 const MAXIMUM_RESUME_ATTEMPTS = 6
 
 /** Backoff before the first attempt to resume a cut answer, in milliseconds. Doubles with each attempt. */
@@ -90,6 +90,7 @@
     let attemptsWithoutFrame = 0
     for (let isFirst = true; attemptsWithoutFrame <= MAXIMUM_RESUME_ATTEMPTS; isFirst = false) {
       const offset = this.#sequence.nextOffset
+      let isSilence = false
       try {
         if (!isFirst) await this.#context.clock.sleep(INITIAL_RESUME_BACKOFF_MS * 2 ** Math.max(0, attemptsWithoutFrame - 1), this.#stopController.signal)
         const last = await this.#relayUntilLast(this.#openStream(isFirst))
@@ -99,12 +100,14 @@
         }
       } catch (error) {
         failure = toTargetError(error, this.#request.target)
+        isSilence = failure.isSilence
         if (failure.isConnectionLost && failure.knowledge !== decisions.retryRules.DispatchKnowledge.neverSent) this.#recordLoss()
         if (this.#stopController.signal.aborted) break
         if (isFirst && this.#body !== undefined && failure.knowledge === decisions.retryRules.DispatchKnowledge.neverSent) throw failure
         this.#context.logger.warn({ event: 'answer-cut', requestId: this.#request.requestId, step: failure.step, peer: 'target', target: this.#request.target, reason: failure.message })
       }
-      attemptsWithoutFrame = this.#sequence.nextOffset > offset ? 0 : attemptsWithoutFrame + 1
+      if (this.#sequence.nextOffset > offset) attemptsWithoutFrame = 0
+      else if (!isSilence) attemptsWithoutFrame += 1
     }
     return await this.#cancelAtTarget(failure)
   }
--- a/packages/runtime/src/http-call.ts
+++ b/packages/runtime/src/http-call.ts
@@ -19,14 +19,21 @@
 export const CallProgress = { notSent: 'not-sent', sent: 'sent' } as const
 export type CallProgress = typeof CallProgress[keyof typeof CallProgress]
 
+/** The server sent nothing for the idle timeout of a call. It may still be at work. */
+export class IdleTimeoutError extends Error {
+  constructor () {
+    super('idle timeout')
+  }
+}
+
 /** Error of a call that received no answer or an incomplete one. */
 export class HttpCallError extends Error {
   readonly progress: CallProgress
   /** The server or the network ended the connection, rather than a timeout or this process. */
   readonly isConnectionLost: boolean
 
-  constructor (message: string, progress: CallProgress, isConnectionLost = false) {
-    super(message)
+  constructor (message: string, progress: CallProgress, isConnectionLost = false, options?: ErrorOptions) {
+    super(message, options)
     this.progress = progress
     this.isConnectionLost = isConnectionLost
   }
@@ -73,10 +80,10 @@
       })
       socket.once('close', () => { clearTimeout(timer) })
     })
-    request.setTimeout(call.idleTimeoutMs, () => request.destroy(new Error('idle timeout')))
+    request.setTimeout(call.idleTimeoutMs, () => request.destroy(new IdleTimeoutError()))
     request.on('error', (error: NodeJS.ErrnoException) => {
       const wasNotSent = !isConnected || NOT_CONNECTED_ERROR_CODES.has(error.code ?? '')
-      reject(new HttpCallError(error.message, wasNotSent ? CallProgress.notSent : CallProgress.sent, isConnectionLost(error)))
+      reject(new HttpCallError(error.message, wasNotSent ? CallProgress.notSent : CallProgress.sent, isConnectionLost(error), { cause: error }))
       // The end of the connection also ends a close-delimited response. The HTTP parser treats a reset as such an end, too.
       if (receivedResponse !== undefined && !receivedResponse.complete) receivedResponse.destroy(error)
     })
--- a/packages/targets/src/engine-client.ts
+++ b/packages/targets/src/engine-client.ts
@@ -122,7 +122,8 @@
   #toTargetError (step: string, error: Error, hasReceivedFrame: boolean): errors.TargetError {
     if (error instanceof errors.TargetError) return error
     const isConnectionLost = error instanceof runtime.httpCall.HttpCallError ? error.isConnectionLost : runtime.httpCall.isConnectionLost(error)
-    return new errors.TargetError(this.target, step, error.message, knowledgeFromError(error, hasReceivedFrame), isConnectionLost)
+    const isSilence = [error, error.cause].some((reason) => reason instanceof runtime.httpCall.IdleTimeoutError)
+    return new errors.TargetError(this.target, step, error.message, knowledgeFromError(error, hasReceivedFrame), isConnectionLost, isSilence)
   }
 }
 
--- a/packages/targets/src/target-error.ts
+++ b/packages/targets/src/target-error.ts
@@ -8,12 +8,15 @@
   readonly knowledge: decisions.retryRules.DispatchKnowledge
   /** The target or the network ended the connection. */
   readonly isConnectionLost: boolean
+  /** The target sent nothing for the idle timeout, so that it may still be at work. */
+  readonly isSilence: boolean
 
-  constructor (target: string, step: string, reason: string, knowledge: decisions.retryRules.DispatchKnowledge, isConnectionLost = false) {
+  constructor (target: string, step: string, reason: string, knowledge: decisions.retryRules.DispatchKnowledge, isConnectionLost = false, isSilence = false) {
     super(`request to target ${target} failed at step "${step}": ${reason}`)
     this.target = target
     this.step = step
     this.knowledge = knowledge
     this.isConnectionLost = isConnectionLost
+    this.isSilence = isSilence
   }
 }
