--- a/packages/router-daemon/src/frame-relay.ts
+++ b/packages/router-daemon/src/frame-relay.ts
@@ -7,6 +7,7 @@
 import type * as contexts from './call-context.js'
 import * as settlers from './intent-settler.js'
 
+/** Consecutive attempts to resume a cut answer that the engine or the network ends without a new frame. Silence does not count. */
 const MAXIMUM_RESUME_ATTEMPTS = 6
 
 /** Backoff before the first attempt to resume a cut answer, in milliseconds. Doubles with each attempt. */
@@ -43,6 +44,8 @@
   readonly #sink: callers.callerTypes.AnswerSink
   readonly #span: api.Span
   readonly #sequence: decisions.frameSequence.FrameSequence
+  /** The engine that runs the request. It is kept if the configuration drops it, as no other engine can continue the answer. */
+  readonly #engine: targets.engineClient.EngineClient | undefined
   readonly #stopController = new AbortController()
   #hasTimedOut = false
   #isHandedOver = false
@@ -56,6 +59,7 @@
     this.#sink = options.sink
     this.#span = options.span
     this.#sequence = new decisions.frameSequence.FrameSequence(options.request.requestId, options.firstOffset)
+    this.#engine = options.context.targetDirectory.engineClient(options.request.target)
   }
 
   /**
@@ -83,21 +87,27 @@
 
   async #relayWithResume (): Promise<LastFrame> {
     let failure: targets.targetError.TargetError | undefined
-    for (let attempt = 0; attempt <= MAXIMUM_RESUME_ATTEMPTS; attempt += 1) {
+    let attemptsWithoutFrame = 0
+    for (let isFirst = true; attemptsWithoutFrame <= MAXIMUM_RESUME_ATTEMPTS; isFirst = false) {
+      const offset = this.#sequence.nextOffset
+      let isSilence = false
       try {
-        if (attempt > 0) await this.#context.clock.sleep(INITIAL_RESUME_BACKOFF_MS * 2 ** (attempt - 1), this.#stopController.signal)
-        const last = await this.#relayUntilLast(this.#openStream(attempt))
+        if (!isFirst) await this.#context.clock.sleep(INITIAL_RESUME_BACKOFF_MS * 2 ** Math.max(0, attemptsWithoutFrame - 1), this.#stopController.signal)
+        const last = await this.#relayUntilLast(this.#openStream(isFirst))
         if (last !== undefined) {
           this.#recordAnswer()
           return last
         }
       } catch (error) {
         failure = toTargetError(error, this.#request.target)
+        isSilence = failure.isSilence
         if (failure.isConnectionLost && failure.knowledge !== decisions.retryRules.DispatchKnowledge.neverSent) this.#recordLoss()
         if (this.#stopController.signal.aborted) break
-        if (attempt === 0 && this.#body !== undefined && failure.knowledge === decisions.retryRules.DispatchKnowledge.neverSent) throw failure
+        if (isFirst && this.#body !== undefined && failure.knowledge === decisions.retryRules.DispatchKnowledge.neverSent) throw failure
         this.#context.logger.warn({ event: 'answer-cut', requestId: this.#request.requestId, step: failure.step, peer: 'target', target: this.#request.target, reason: failure.message })
       }
+      if (this.#sequence.nextOffset > offset) attemptsWithoutFrame = 0
+      else if (!isSilence) attemptsWithoutFrame += 1
     }
     return await this.#cancelAtTarget(failure)
   }
@@ -112,8 +122,8 @@
     promptParts.recordLoss(this.#sharedParts, this.#envelope.caller.account, this.#request.target, clock.now())
   }
 
-  #openStream (attempt: number): AsyncGenerator<targets.engineTypes.EngineFrame> {
-    if (attempt === 0 && this.#body !== undefined) return this.#startStream(this.#body)
+  #openStream (isFirst: boolean): AsyncGenerator<targets.engineTypes.EngineFrame> {
+    if (isFirst && this.#body !== undefined) return this.#startStream(this.#body)
     return this.#requireEngine().resume(this.#request.requestId, this.#sequence.nextOffset, this.#request.incarnation.id, this.#stopController.signal)
   }
 
@@ -173,8 +183,7 @@
   }
 
   #requireEngine (): targets.engineClient.EngineClient {
-    const engine = this.#context.targetDirectory.engineClient(this.#request.target)
-    if (engine !== undefined) return engine
+    if (this.#engine !== undefined) return this.#engine
     throw new targets.targetError.TargetError(this.#request.target, 'connect', 'the target is no longer configured', decisions.retryRules.DispatchKnowledge.neverSent)
   }
 }
