Answer requests whose target answers 101

The socket of a 101 is now destroyed, and the request counts as sent without an answer. 'close' and the abort of the signal settle any other call, also one that waits for a connection of its agent. A connect is bounded by the idle time-out where no other bound is given.

--- a/packages/runtime/src/http-call.ts
+++ b/packages/runtime/src/http-call.ts
@@ -7,7 +7,7 @@
   headers?: http.OutgoingHttpHeaders
   /** A string gets the content type `application/json`; a buffer is sent without added headers. */
   body?: string | Buffer
-  /** Longest time to establish a connection, in milliseconds; if absent, only the idle timeout applies. */
+  /** Longest time to establish a connection, in milliseconds; if absent, that of the idle timeout. */
   connectTimeoutMs?: number
   /** Longest time without receiving a byte, in milliseconds. */
   idleTimeoutMs: number
@@ -50,17 +50,26 @@
 /** Error codes that prove that no connection was established. */
 const NOT_CONNECTED_ERROR_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL'])
 
-/** Sends a request and resolves with the response once its headers have arrived. Throws HttpCallError. */
+/** Lowest status of a final answer. */
+const LOWEST_FINAL_STATUS = 200
+
+/**
+ * Sends a request and resolves with the response once its headers have arrived. An answer 101 counts as none, as no call asks for an
+ * upgrade. Throws HttpCallError, at once if the signal aborts the call.
+ */
 export function openCall (call: HttpCall): Promise<http.IncomingMessage> {
   return new Promise((resolve, reject) => {
     let isConnected = false
     let receivedResponse: http.IncomingMessage | undefined
-    const request = http.request(call.url, {
-      method: call.method,
-      headers: requestHeaders(call),
-      agent: call.agent,
-      signal: call.signal
-    })
+    const fail = (error: NodeJS.ErrnoException): void => {
+      const wasNotSent = !isConnected || NOT_CONNECTED_ERROR_CODES.has(error.code ?? '')
+      reject(new HttpCallError(error.message, wasNotSent ? CallProgress.notSent : CallProgress.sent, isConnectionLost(error)))
+    }
+    const request = createRequest(call)
+    // A request that still waits for a connection of its agent reports its end only once it gets one.
+    const onAbort = (): void => { fail(new Error('the call was aborted')) }
+    call.signal?.addEventListener('abort', onAbort)
+    if (call.signal?.aborted === true) onAbort()
     request.on('socket', (socket) => {
       if (!socket.connecting) {
         isConnected = true
@@ -75,20 +84,42 @@
     })
     request.setTimeout(call.idleTimeoutMs, () => request.destroy(new Error('idle timeout')))
     request.on('error', (error: NodeJS.ErrnoException) => {
-      const wasNotSent = !isConnected || NOT_CONNECTED_ERROR_CODES.has(error.code ?? '')
-      reject(new HttpCallError(error.message, wasNotSent ? CallProgress.notSent : CallProgress.sent, isConnectionLost(error)))
+      fail(error)
       // The end of the connection also ends a close-delimited response. The HTTP parser treats a reset as such an end, too.
       if (receivedResponse !== undefined && !receivedResponse.complete) receivedResponse.destroy(error)
     })
+    request.on('upgrade', (response, socket) => {
+      fail(new Error(`unusable status ${response.statusCode ?? 0}`))
+      socket.destroy()
+    })
     request.on('response', (response) => {
+      call.signal?.removeEventListener('abort', onAbort)
+      if ((response.statusCode ?? 0) < LOWEST_FINAL_STATUS) {
+        fail(new Error(`unusable status ${response.statusCode ?? 0}`))
+        request.destroy()
+        return
+      }
       receivedResponse = response
       if (isCloseDelimited(response)) response.socket.prependOnceListener('end', () => { destroyIfReset(response) })
       resolve(response)
     })
+    request.on('close', () => {
+      call.signal?.removeEventListener('abort', onAbort)
+      fail(new Error('the connection was closed without an answer'))
+    })
     request.end(call.body)
   })
 }
 
+/** Throws HttpCallError if the request cannot be written as HTTP. */
+function createRequest (call: HttpCall): http.ClientRequest {
+  try {
+    return http.request(call.url, { method: call.method, headers: requestHeaders(call), agent: call.agent, signal: call.signal })
+  } catch (error) {
+    throw new HttpCallError((error as Error).message, CallProgress.notSent)
+  }
+}
+
 /** Largest body that `callHttp` reads, in bytes. A server in trouble may send bytes without end. */
 const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
 
@@ -128,9 +159,8 @@
   if (response.socket.remoteAddress === undefined) response.destroy(Object.assign(new Error('connection reset'), { code: 'ECONNRESET' }))
 }
 
-function startConnectTimer (call: HttpCall, request: http.ClientRequest): NodeJS.Timeout | undefined {
-  if (call.connectTimeoutMs === undefined) return undefined
-  return setTimeout(() => { request.destroy(new Error('connect timeout')) }, call.connectTimeoutMs)
+function startConnectTimer (call: HttpCall, request: http.ClientRequest): NodeJS.Timeout {
+  return setTimeout(() => { request.destroy(new Error('connect timeout')) }, call.connectTimeoutMs ?? call.idleTimeoutMs)
 }
 
 function requestHeaders (call: HttpCall): http.OutgoingHttpHeaders {
--- a/packages/stand-ins/src/target-server.ts
+++ b/packages/stand-ins/src/target-server.ts
@@ -36,7 +36,13 @@
   /** Sends a signed head and then a body without a length and without end, which holds no complete event. */
   endlessBody: 'endless-body',
   /** The same with a chunked body. */
-  endlessChunks: 'endless-chunks'
+  endlessChunks: 'endless-chunks',
+  /** Runs requests and answers them with 101, for which nobody asked. */
+  unaskedUpgrade: 'unasked-upgrade',
+  /** The same without the headers that belong to it. */
+  bareUpgrade: 'bare-upgrade',
+  /** Runs requests, sends an interim response (103) and closes the connection. */
+  interimThenClose: 'interim-then-close'
 } as const
 export type TargetFault = typeof TargetFault[keyof typeof TargetFault]
 
@@ -108,6 +114,13 @@
   [TargetFault.endlessChunks]: (signedHead) => ({ start: `${signedHead}Transfer-Encoding: chunked\r\n\r\n`, repeated: `10000\r\n${FILLER}\r\n` })
 }
 
+/** Answers by fault that are sent as they are, without a final response. */
+const unusableAnswers: Partial<Record<TargetFault, { text: string, closes: boolean }>> = {
+  [TargetFault.unaskedUpgrade]: { text: 'HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n?', closes: false },
+  [TargetFault.bareUpgrade]: { text: 'HTTP/1.1 101 Switching Protocols\r\n\r\n', closes: false },
+  [TargetFault.interimThenClose]: { text: 'HTTP/1.1 103 Early Hints\r\n\r\n', closes: true }
+}
+
 /**
  * A stand-in for a target with the platform's published protocol. It answers a request that states token counts as a model engine
  * does, any other as a plain service.
@@ -241,6 +254,12 @@
     const headers = { 'attempt-id': answeredId, 'replica-seal': `seal-${this.options.id}` }
     if (this.fault === TargetFault.loseAnswers) { message.socket.resetAndDestroy(); return }
     if (this.#crashMoment(run) === CrashMoment.beforeHead) { this.crash(); return }
+    const unusable = unusableAnswers[this.fault]
+    if (unusable !== undefined) {
+      message.socket.write(unusable.text)
+      if (unusable.closes) message.socket.end()
+      return
+    }
     if (this.fault === TargetFault.failing) { response.writeHead(500, headers).end('failed'); return }
     const isCloseDelimited = CLOSE_DELIMITED_FAULTS.has(this.fault)
     // Without this header, Node neither sends chunks nor keeps the connection.
