Send method, path and query to the target as the caller sent them

The gateway passed a URL to http.request, which parses and normalizes it.

The path now goes to http.request apart from the address, byte for byte, so that the route is judged by what the target receives.

--- a/packages/gateway/src/target-connections.ts
+++ b/packages/gateway/src/target-connections.ts
@@ -84,7 +84,8 @@
     try {
       return await runtime.httpCall.openCall({
         method: call.method,
-        url: `http://${call.target.address}${call.path}`,
+        url: `http://${call.target.address}`,
+        path: call.path,
         headers: call.headers,
         body: call.body.length > 0 ? call.body : undefined,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
--- a/packages/runtime/src/http-call.ts
+++ b/packages/runtime/src/http-call.ts
@@ -4,6 +4,8 @@
 export interface HttpCall {
   method: string
   url: string
+  /** Path and query that are sent byte for byte, in place of those of `url`, which is parsed and thereby normalized. */
+  path?: string
   headers?: http.OutgoingHttpHeaders
   /** A string gets the content type `application/json`; a buffer is sent without added headers. */
   body?: string | Buffer
@@ -107,14 +109,17 @@
       call.signal?.removeEventListener('abort', onAbort)
       fail(new Error('the connection was closed without an answer'))
     })
-    request.end(call.body)
+    // Node joins a text body to the head and would write the path in the encoding of the body.
+    request.end(typeof call.body === 'string' ? Buffer.from(call.body) : call.body)
   })
 }
 
 /** Throws HttpCallError if the request cannot be written as HTTP. */
 function createRequest (call: HttpCall): http.ClientRequest {
   try {
-    return http.request(call.url, { method: call.method, headers: requestHeaders(call), agent: call.agent, signal: call.signal })
+    const options: http.RequestOptions = { method: call.method, headers: requestHeaders(call), agent: call.agent, signal: call.signal }
+    if (call.path !== undefined) options.path = call.path
+    return http.request(call.url, options)
   } catch (error) {
     throw new HttpCallError((error as Error).message, CallProgress.notSent)
   }
