Check every ended send before a call is sent once more, and keep a target's failure for its caller

Found in a review of AnswerRace, by probes of its own. After two sends of a call only the one that ended last was checked, so that a call lost under a part that crashes targets reached a third one. A target's own 5xx gave way to a 502 of the gateway if another send was lost after it, and a 404 of the second target ended the first, which was still at work. A send that was given up while it connected counted against its target, and permits were asked for although the retry budget was used up. Each ended send is now checked, the limits of a call are one decision (sendLimit), and a failure is forwarded only once no send is left. silent-targets.test.ts, the failure of another target: 502 on, 500 now.

--- a/packages/decisions/src/retry-allowance.ts
+++ b/packages/decisions/src/retry-allowance.ts
@@ -41,12 +41,17 @@
 
   /** Counts a retry and returns true, or returns false if the allowance is exhausted. `routers` is the size of the fleet. */
   tryConsumeRetry (service: string, routers: number, now: number): boolean {
+    if (!this.hasRetry(service, routers, now)) return false
+    this.#history(service).retryTimes.push(now)
+    return true
+  }
+
+  /** Returns true if a retry is allowed, without counting one. */
+  hasRetry (service: string, routers: number, now: number): boolean {
     const history = this.#history(service)
     this.#dropExpired(history, now)
     const allowed = USABLE_SHARE * (history.requestTimes.length * this.#budget.ratio + this.#budget.slack / Math.max(1, routers))
-    if (history.retryTimes.length + 1 > allowed) return false
-    history.retryTimes.push(now)
-    return true
+    return history.retryTimes.length + 1 <= allowed
   }
 
   #dropExpired (history: ServiceHistory, now: number): void {
--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -74,7 +74,8 @@
     if (!this.#isForwardable && status < 500) return this.#notForwardedOutcome('the answer is not signed')
     if (this.#answer.wasNotExecuted) return this.#notForwardedOutcome('')
     const buffered = { status, headers: forwardedHeaders, body: this.#takeBody() }
-    if (status >= 500) return { kind: 'failed', answer: buffered }
+    // Another target that still works on the request may answer it.
+    if (status >= 500 || (status >= 300 && this.#race.size > 1)) return { kind: 'failed', answer: buffered }
     if (this.#call.response.headersSent) return this.#notForwardedOutcome('the answer does not continue the stream')
     if (!this.#race.claim(this.#send)) return { kind: 'overtaken' }
     answers.forwardAnswer(this.#call.response, buffered)
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -140,29 +140,32 @@
   async #sendWithRetries (call: calls.Call): Promise<string> {
     const race = new answerRaces.AnswerRace()
     const triedTargets = new Set<string>()
-    let lastFailure: SendOutcome | undefined
+    let failure: SendOutcome | undefined
+    let mayTryAnother = true
     try {
       while (call.abortReason === undefined) {
+        if (race.size === 0 && !mayTryAnother) break
         if (race.size === 0 && !await this.#startSend(call, race, triedTargets)) break
         const outcome = await race.next(this.#timeToSuccessorMs(call, race))
         if (outcome === undefined) await this.#startSuccessor(call, race, triedTargets)
         else if (outcome.kind === 'answered') return 'answered'
         else if (outcome.kind !== 'overtaken') {
-          lastFailure = outcome
-          if (race.size === 0 && !this.#mayTryAnother(call, outcome)) break
+          // A target's own failure is the better answer for the caller than one of the gateway.
+          if (failure?.kind !== 'failed') failure = outcome
+          mayTryAnother &&= this.#mayTryAnother(call, outcome)
         }
       }
     } finally {
       await race.end()
     }
-    return this.#endUnanswered(call, lastFailure)
+    return this.#endUnanswered(call, failure)
   }
 
   /** Sends the call to the first or, after a failure, another target. Returns false if none takes it, or a retry is not allowed. */
   async #startSend (call: calls.Call, race: answerRaces.AnswerRace, triedTargets: Set<string>): Promise<boolean> {
-    if (triedTargets.size > 0 && this.#isHeldBack(call)) {
-      call.noRetryReason = 'held-part'
-      return false
+    if (triedTargets.size > 0) {
+      call.noRetryReason = this.#isHeldBack(call) ? 'held-part' : this.#sendLimit(call, 0)
+      if (call.noRetryReason !== undefined) return false
     }
     const chosen = await this.#options.chooser.place(call, triedTargets)
     if (chosen === undefined) {
@@ -180,8 +183,7 @@
 
   /** Returns the time until a silent target is not the only one asked, in milliseconds; Infinity if the call may not go to another one. */
   #timeToSuccessorMs (call: calls.Call, race: answerRaces.AnswerRace): number {
-    if (call.route.repetition === Repetition.atMostOnce || this.#possibleRuns(call) + race.size >= call.route.maximumTargets) return Infinity
-    if (call.response.headersSent && !call.route.resumable) return Infinity
+    if (this.#sendLimit(call, race.size) !== undefined) return Infinity
     return race.isSilent ? SUCCESSOR_INTERVAL_MS : race.timeToSilenceMs()
   }
 
@@ -191,7 +193,7 @@
     await timers.setImmediate()
     if (!race.isSilent) return
     this.#recordSilence(race)
-    if (this.#isHeldBack(call)) return
+    if (this.#isHeldBack(call) || !this.#options.retryAllowance.hasRetry(call.service, this.#options.gatewayCount(), this.#options.clock.now())) return
     const chosen = await this.#options.chooser.placeAtOnce(call, triedTargets)
     if (chosen === undefined) return
     if (call.abortReason !== undefined || !race.isSilent || !this.#consumeRetry(call)) chosen.release()
@@ -213,6 +215,16 @@
     race.add(send, this.#send(call, chosen.placement, race, send).finally(() => { chosen.release() }))
   }
 
+  /** Returns what keeps the call from being sent once more, beside `sendsInProgress` sends and those that have ended. */
+  #sendLimit (call: calls.Call, sendsInProgress: number): calls.NoRetryReason | undefined {
+    const possibleRuns = this.#possibleRuns(call) + sendsInProgress
+    if (possibleRuns === 0) return undefined
+    if (call.route.repetition === Repetition.atMostOnce) return 'not-repeatable'
+    if (possibleRuns >= call.route.maximumTargets) return 'all-attempts-used'
+    const isStreamContinued = call.route.resumable && call.firstEventAt !== undefined
+    return call.response.headersSent && !isStreamContinued ? 'not-resumable' : undefined
+  }
+
   /** Number of ended sends after which the request may have run. */
   #possibleRuns (call: calls.Call): number {
     return call.sends.filter((send) => send.result !== 'not-run').length
@@ -236,9 +248,7 @@
 
   #noRetryReason (call: calls.Call, outcome: SendOutcome): calls.NoRetryReason | undefined {
     if (isConnectionLost(outcome) && !this.#options.promptParts.mayRepeat(call.sharedParts)) return 'connection-lost-under-part'
-    if (call.route.repetition === Repetition.atMostOnce) return 'not-repeatable'
-    if (this.#possibleRuns(call) >= call.route.maximumTargets) return 'all-attempts-used'
-    return outcome.kind === 'cut' && !call.route.resumable ? 'not-resumable' : undefined
+    return this.#sendLimit(call, 0)
   }
 
   async #send (call: calls.Call, placement: decisions.placement.Placement, race: answerRaces.AnswerRace, send: answerRaces.SendInProgress): Promise<SendOutcome> {
@@ -257,7 +267,7 @@
     const ended = await this.#sendAndReceive(call, placement, onPromptRead, span, race, send)
     const outcome: SendOutcome = send.isOvertaken && ended.kind !== 'not-run' ? { kind: 'overtaken' } : ended
     onPromptRead()
-    board.recordEnd(target.id, targetResultOf(call, outcome), clock.now())
+    board.recordEnd(target.id, send.isOvertaken ? TargetResult.undecided : targetResultOf(call, outcome), clock.now())
     this.#recordPromptParts(call, target.id, outcome)
     span.end()
     call.sends.push({ target: target.id, copyFrom: placement.copyFrom?.entry.id, result: resultForLog(outcome), reason: 'reason' in outcome ? outcome.reason : undefined, limitPerSecond: call.limitPerSecond, milliseconds: Math.round(clock.now() - startedAt) })
