--- a/packages/runtime/src/http-call.ts
+++ b/packages/runtime/src/http-call.ts
@@ -1,4 +1,5 @@
 import * as http from 'node:http'
+import type * as net from 'node:net'
 
 /** An outgoing HTTP request with its timeouts. */
 export interface HttpCall {
@@ -59,6 +60,9 @@
 /** Error codes that prove that no connection was established. */
 const NOT_CONNECTED_ERROR_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL'])
 
+/** Most bytes that a server may send before the head of its final answer has ended, in bytes. Interim answers and blank lines count. */
+const MAXIMUM_HEAD_BYTES = 128 * 1024
+
 /** Lowest status of a final answer. */
 const LOWEST_FINAL_STATUS = 200
 
@@ -80,6 +84,7 @@
     call.signal?.addEventListener('abort', onAbort)
     if (call.signal?.aborted === true) onAbort()
     request.on('socket', (socket) => {
+      limitHeadBytes(request, socket)
       if (!socket.connecting) {
         isConnected = true
         return
@@ -121,6 +126,18 @@
   })
 }
 
+/** Ends a request whose server sends bytes without end that are no answer. */
+function limitHeadBytes (request: http.ClientRequest, socket: net.Socket): void {
+  const bytesBefore = socket.bytesRead
+  const checkBytes = (): void => {
+    if (socket.bytesRead - bytesBefore > MAXIMUM_HEAD_BYTES) request.destroy(new Error('too many bytes before the head of the answer'))
+  }
+  const stop = (): void => { socket.off('data', checkBytes) }
+  socket.on('data', checkBytes)
+  request.once('response', stop)
+  request.once('close', stop)
+}
+
 /** Throws HttpCallError if the request cannot be written as HTTP. */
 function createRequest (call: HttpCall): http.ClientRequest {
   try {
--- a/packages/runtime/test/open-call.test.ts
+++ b/packages/runtime/test/open-call.test.ts
@@ -71,7 +71,9 @@
   { title: '103 and a reset', respond: (socket) => { socket.write('HTTP/1.1 103 Early Hints\r\n\r\n', () => { socket.resetAndDestroy() }) } },
   { title: 'the end at once', respond: (socket) => { socket.end() } },
   { title: 'the end inside the status line', respond: (socket) => { socket.end('HTTP/1.1 20') } },
-  { title: 'a reset', respond: (socket) => { socket.resetAndDestroy() } }
+  { title: 'a reset', respond: (socket) => { socket.resetAndDestroy() } },
+  { title: 'more blank lines than a head may have', respond: (socket) => { socket.write('\r\n'.repeat(100_000)) } },
+  { title: 'more interim answers than a head may have', respond: (socket) => { socket.write('HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(10_000)) } }
 ]
 
 /** Answers that only the caller's deadline ends. */
