Count a request at its target from the choice on

Requests that wait together, such as for tokens, choose in the same moment, and all went to the target that was best before any of them counted.

--- a/packages/decisions/src/target-board.ts
+++ b/packages/decisions/src/target-board.ts
@@ -144,6 +144,22 @@
     for (const [id, target] of this.#targets) target.otherRoutersWork = work.get(id) ?? { requests: 0, unreadTokens: 0 }
   }
 
+  /**
+   * Counts a request for which the target was chosen, until it is sent or given up, so that requests that start together spread. Returns a
+   * function that ends this; further calls of it have no effect.
+   */
+  recordChoice (id: string, unreadTokens: number, now: number): () => void {
+    const target = this.#targets.get(id)
+    if (target === undefined) return () => {}
+    target.lastStartedAt = now
+    target.ownWork = { requests: target.ownWork.requests + 1, unreadTokens: target.ownWork.unreadTokens + unreadTokens }
+    let isCounted = true
+    return () => {
+      if (isCounted) target.ownWork = { requests: Math.max(0, target.ownWork.requests - 1), unreadTokens: Math.max(0, target.ownWork.unreadTokens - unreadTokens) }
+      isCounted = false
+    }
+  }
+
   /** Counts a request that starts at a target, and remembers the prompt parts that it brings into the target's cache. */
   recordStart (id: string, unreadTokens: number, parts: readonly string[], now: number): void {
     const target = this.#targets.get(id)
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -212,6 +212,7 @@
     const { entry } = chosen.placement.target
     triedTargets.add(entry.id)
     const send = new answerRaces.SendInProgress(entry, this.#options.clock, this.#maximumSilenceMs(call))
+    chosen.stopCounting()
     race.add(send, this.#send(call, chosen.placement, race, send).finally(() => { chosen.release() }))
   }
 
--- a/packages/gateway/src/target-chooser.ts
+++ b/packages/gateway/src/target-chooser.ts
@@ -33,6 +33,8 @@
 /** A target that was chosen for a request, with a connection to it. Call `release` once, when the request has ended or is not sent. */
 export interface ChosenTarget {
   placement: decisions.placement.Placement
+  /** Ends the count of the choice on the target board. Call it where the request itself is counted, as it is sent. */
+  stopCounting: () => void
   release: () => void
 }
 
@@ -66,12 +68,12 @@
 
   /** Chooses a healthy target that takes the call now. Returns undefined if that takes waiting for more than a permit. */
   async placeAtOnce (call: calls.Call, triedTargets: ReadonlySet<string>): Promise<ChosenTarget | undefined> {
-    const { clock, permits, slots } = this.#options
+    const { clock, permits } = this.#options
     const placement = this.#choose(call, triedTargets)
     if (placement === undefined || placement.target.backoffUntil > clock.now()) return undefined
-    const release = slots.take(placement.target.entry)
-    if (await permits.acquire(placement.target.entry) && this.#isStillWanted(placement.target.entry)) return { placement, release }
-    release()
+    const chosen = this.#take(call, placement)
+    if (await permits.acquire(placement.target.entry) && this.#isStillWanted(placement.target.entry)) return chosen
+    chosen.release()
     return undefined
   }
 
@@ -84,18 +86,18 @@
 
   /** Chooses a target as `place` does, but returns undefined where a target could take the call if it had a free connection. */
   async #placeUnlessFull (call: calls.Call, triedTargets: ReadonlySet<string>): Promise<ChosenTarget | undefined> {
-    const { clock, permits, slots } = this.#options
+    const { clock, permits } = this.#options
     const waitUntil = clock.now() + permits.maximumWaitMs(call.rank)
     while (call.abortReason === undefined) {
       const placement = this.#choose(call, triedTargets)
       if (placement !== undefined) {
         call.permitWaitMs = undefined
         call.areTargetsResting = false
-        const release = slots.take(placement.target.entry)
+        const chosen = this.#take(call, placement)
         const isPermitted = await permits.acquire(placement.target.entry)
         // The caller may have left while the request waited for its permit, and the target may have left or asked for rest.
-        if (isPermitted && call.abortReason === undefined && this.#isStillWanted(placement.target.entry)) return { placement, release }
-        release()
+        if (isPermitted && call.abortReason === undefined && this.#isStillWanted(placement.target.entry)) return chosen
+        chosen.release()
         continue
       }
       if (this.#fullTargets(call, triedTargets).length > 0) return undefined
@@ -136,6 +138,18 @@
     return placement?.copyFrom !== undefined && this.#isResting(placement.copyFrom.entry) ? { target: placement.target } : placement
   }
 
+  /** Takes a connection to the target, and counts the call there before it is sent. */
+  #take (call: calls.Call, placement: decisions.placement.Placement): ChosenTarget {
+    const { board, clock, slots } = this.#options
+    const stopCounting = board.recordChoice(placement.target.entry.id, decisions.placement.promptReadingCost(call.request.promptTokens ?? 0), clock.now())
+    const releaseConnection = slots.take(placement.target.entry)
+    const release = (): void => {
+      stopCounting()
+      releaseConnection()
+    }
+    return { placement, stopCounting, release }
+  }
+
   #isAllowed (call: calls.Call, entry: Entry): boolean {
     return !this.#isResting(entry) && this.#options.permits.mayAsk(entry, call.rank)
   }
