Let reports of other gateways' requests grow old

Cause: a heartbeat's requests counted in full for 1.5 s, then not at all, and were scaled up to the whole fleet; gateways that avoid the same busy targets meet at the same idle ones. The part of a report that has ended since, by the times of the service's requests, is now spread over the service's targets.

--- a/packages/decisions/src/target-board.ts
+++ b/packages/decisions/src/target-board.ts
@@ -1,4 +1,5 @@
 import * as types from './agreement-types.js'
+import * as workEstimate from './work-estimate.js'
 
 /** Outcome of a dispatch to a target, as far as it concerns the target's health. */
 export const TargetResult = { served: 'served', refused: 'refused', failed: 'failed', unreachable: 'unreachable', undecided: 'undecided' } as const
@@ -36,7 +37,7 @@
   entry: types.TargetEntry
   /** Work sent by this router. */
   ownWork: WorkInFlight
-  /** Work sent by the other routers, as of their last heartbeats. */
+  /** Work sent by the other routers, as estimated from their last heartbeats. */
   otherRoutersWork: WorkInFlight
   /** Decaying failure score of recent work, from 0 to 1. */
   failureRatio: number
@@ -62,6 +63,7 @@
   readonly #targets = new Map<string, TrackedTarget>()
   /** Runs that are leaving, with their addresses. */
   readonly #leavingRuns = new Set<string>()
+  readonly #serviceTimes = new workEstimate.ServiceTimes()
 
   /** Replaces all entries. Targets that are not in the list are dropped. */
   replaceEntries (entries: readonly types.TargetEntry[]): void {
@@ -144,6 +146,17 @@
     for (const [id, target] of this.#targets) target.otherRoutersWork = work.get(id) ?? { requests: 0, unreadTokens: 0 }
   }
 
+  /** Sets the work of the other routers to what their reports let expect now. */
+  estimateOtherRoutersWork (reports: Iterable<workEstimate.WorkReport>): void {
+    const serviceOfTarget = new Map([...this.#targets.values()].map(({ entry }) => [entry.id, entry.service]))
+    this.setOtherRoutersWork(workEstimate.estimateWork(reports, serviceOfTarget, (service) => this.#serviceTimes.lifetimes(service)))
+  }
+
+  /** Records the times until the first event and until the end of a request to a service, by which reports of other routers age. */
+  recordTimes (service: string, readingMs: number, totalMs: number): void {
+    this.#serviceTimes.record(service, readingMs, totalMs)
+  }
+
   /**
    * Counts a request for which the target was chosen, until it is sent or given up, so that requests that start together spread. Returns a
    * function that ends this; further calls of it have no effect.
--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -8,8 +8,8 @@
 import type * as tokenAllocators from './token-allocator.js'
 import type * as tokenPageClients from './token-page-client.js'
 
-/** Least time between two sums of the other gateways' requests in flight, in milliseconds. A sum iterates over all gateways. */
-const WORK_SUM_INTERVAL_MS = 50
+/** Least time between two estimates of the other gateways' requests in flight, in milliseconds. An estimate iterates over all gateways. */
+const WORK_ESTIMATE_INTERVAL_MS = 50
 
 /** Time for which a newer agreement may be known but not in force, in milliseconds. */
 const MAXIMUM_OUTDATED_MS = 1000
@@ -42,7 +42,7 @@
   #agreementConfirmedAt = -Infinity
   /** Time as of which other gateways confirmed that the agreement and the targets known here are the newest. */
   #knowledgeConfirmedAt = -Infinity
-  #workSummedAt = -Infinity
+  #workEstimatedAt = -Infinity
   /** Versions of the agreement that other gateways have reported before they were in force here, in ascending order. */
   #newerVersions: Array<{ version: number, reportedAt: number }> = []
 
@@ -86,6 +86,7 @@
   buildHeartbeat (): Omit<routers.gatewayMessages.GatewayHeartbeat, 'sequence' | 'asksForAnswer'> {
     const { board, clock, configuration, peers, promptParts, store, targetLimits, targets, tokenPages, tokens, view } = this.#options
     const ownDraws = tokenPages.ownDraws()
+    this.#estimateWork(clock.now())
     const sharesTokenCounts = view.gatewayCount() <= decisions.fleetSize.MAXIMUM_SMALL_FLEET_SIZE
     return {
       sender: this.#options.member(),
@@ -111,17 +112,14 @@
    * none yet or doesn't watch the store itself.
    */
   applyHeartbeat (heartbeat: routers.gatewayMessages.GatewayHeartbeat): void {
-    const { board, clock, configuration, peers, promptParts, store, targetLimits, targets, tokenPages } = this.#options
+    const { board, clock, configuration, promptParts, store, targetLimits, targets, tokenPages } = this.#options
     const now = clock.now()
     if (heartbeat.drawnChange > 0) tokenPages.learnDraws(heartbeat.sender.incarnation, { change: heartbeat.drawnChange, tokens: heartbeat.drawnTokens })
     store.learnEpoch(heartbeat.storeEpoch)
     promptParts.merge(heartbeat.promptParts, now)
     targetLimits.merge(heartbeat.targetLimits, now)
     for (const id of heartbeat.leavingTargets) board.markLeaving(id)
-    if (now - this.#workSummedAt >= WORK_SUM_INTERVAL_MS) {
-      this.#workSummedAt = now
-      board.setOtherRoutersWork(peers.othersWork(now))
-    }
+    this.#estimateWork(now)
     if (heartbeat.agreementVersion === configuration.version) this.confirmAgreement(now - heartbeat.sender.storeSilenceMs)
     this.#confirmKnowledge(heartbeat, now)
     this.#recordReportedVersion(heartbeat.agreementVersion, now)
@@ -129,6 +127,14 @@
     if (heartbeat.agreementVersion > configuration.version || needsTargets) this.#options.fetchState(heartbeat.sender.peerAddress)
   }
 
+  /** Estimates the other gateways' requests in flight anew, as their heartbeats age. */
+  #estimateWork (now: number): void {
+    const { board, peers } = this.#options
+    if (now - this.#workEstimatedAt < WORK_ESTIMATE_INTERVAL_MS) return
+    this.#workEstimatedAt = now
+    board.estimateOtherRoutersWork(peers.workReports(now))
+  }
+
   #confirmKnowledge (heartbeat: routers.gatewayMessages.GatewayHeartbeat, now: number): void {
     const { sender, agreementVersion } = heartbeat
     const isKnownHere = agreementVersion <= this.#options.configuration.version && !decisions.storeVersion.isNewer(targetsVersion(heartbeat), this.#options.targets.version)
--- a/packages/gateway/src/peer-table.ts
+++ b/packages/gateway/src/peer-table.ts
@@ -13,9 +13,6 @@
 /** Silence after which another gateway is removed from the table, in milliseconds. */
 const FORGET_AFTER_MS = 20_000
 
-/** Age of a heartbeat up to which its requests in flight are counted, in milliseconds. Most requests take longer, so the count still holds. */
-const MAXIMUM_WORK_AGE_MS = 1500
-
 /** Heartbeats that ask a gateway for its first one. Its address may be that of a gateway that has ended. */
 const MAXIMUM_INTRODUCTIONS = 3
 
@@ -157,21 +154,13 @@
     return this.liveHeartbeats(now).map((heartbeat) => heartbeat.sender).filter((member) => member.ready && !member.leaving)
   }
 
-  /**
-   * Returns the requests in flight of all other gateways, by target. If only some of the live gateways sent a recent heartbeat, their sum
-   * is scaled up to all live gateways.
-   */
-  othersWork (now: number): Map<string, decisions.targetBoard.WorkInFlight> {
-    const sums = new Map<string, decisions.targetBoard.WorkInFlight>()
-    const recent = [...this.#peers.values()].filter((peer) => now - peer.heartbeatReceivedAt <= MAXIMUM_WORK_AGE_MS)
-    const scale = recent.length === 0 ? 0 : Math.max(1, this.liveHeartbeats(now).length / recent.length)
-    for (const { heartbeat } of recent) {
-      for (const { id, requests, unreadTokens } of heartbeat?.work ?? []) {
-        const sum = sums.get(id) ?? { requests: 0, unreadTokens: 0 }
-        sums.set(id, { requests: sum.requests + requests * scale, unreadTokens: sum.unreadTokens + unreadTokens * scale })
-      }
+  /** Returns what the live gateways have last reported of their requests in flight. */
+  workReports (now: number): decisions.workEstimate.WorkReport[] {
+    const reports: decisions.workEstimate.WorkReport[] = []
+    for (const peer of this.#peers.values()) {
+      if (peer.heartbeat !== undefined && this.#isLive(peer, now)) reports.push({ ageMs: now - peer.heartbeatReceivedAt, work: peer.heartbeat.work })
     }
-    return sums
+    return reports
   }
 
   #isLive (peer: Peer, now: number): boolean {
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -258,9 +258,11 @@
     const startedAt = clock.now()
     const unreadTokens = decisions.placement.promptReadingCost(call.request.promptTokens ?? 0)
     let pendingTokens = unreadTokens
+    let readAt: number | undefined
     const onPromptRead = (): void => {
       board.recordPromptRead(target.id, pendingTokens)
       pendingTokens = 0
+      readAt ??= clock.now()
     }
     const span = runtime.telemetry.startSpan('target', call.span, { target: target.id })
     board.recordStart(target.id, unreadTokens, call.request.promptParts.map((part) => part.id), startedAt)
@@ -268,6 +270,7 @@
     const ended = await this.#sendAndReceive(call, placement, onPromptRead, span, race, send)
     const outcome: SendOutcome = send.isOvertaken && ended.kind !== 'not-run' ? { kind: 'overtaken' } : ended
     onPromptRead()
+    board.recordTimes(target.service, (readAt ?? clock.now()) - startedAt, clock.now() - startedAt)
     board.recordEnd(target.id, send.isOvertaken ? TargetResult.undecided : targetResultOf(call, outcome), clock.now())
     this.#recordPromptParts(call, target.id, outcome)
     span.end()
--- a/packages/gateway/test/placement-replay.ts
+++ b/packages/gateway/test/placement-replay.ts
@@ -106,7 +106,8 @@
       to.table.recordHeartbeat(message, at)
       if (at - to.summedAt >= SUM_INTERVAL_MS) {
         to.summedAt = at
-        to.board.setOtherRoutersWork(options.believe?.(to, at) ?? to.table.othersWork(at))
+        if (options.believe === undefined) to.board.estimateOtherRoutersWork(to.table.workReports(at))
+        else to.board.setOtherRoutersWork(options.believe(to, at))
       }
       if (asksForAnswer) send(to, from, false, at)
     })
@@ -147,6 +148,7 @@
       result.late += firstAt - work.arrivedAt > kind.objectiveMs ? 1 : 0
     })
     events.at(firstAt + eventMs * (kind.events - 1), (at) => {
+      gateway.board.recordTimes('s', firstAt - work.arrivedAt, at - work.arrivedAt)
       gateway.board.recordEnd(engine.id, 'served', at)
       engine.byGateway[gateway.index] -= 1
       engine.running -= 1
