Choose by a draw from what is believed of other gateways' requests

Cause: gateways with the same reports computed the same best target. Each choice now draws the others' requests from the estimate and its deviation, and a used slot costs its share of the target as it does for plain services, so that targets fill evenly before any is full. With no other gateway nothing is drawn.

--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -1,4 +1,5 @@
 import * as hashing from './hashing.js'
+import type * as random from './random.js'
 import type * as boards from './target-board.js'
 
 /** Properties of a request that placement considers. */
@@ -10,8 +11,8 @@
   availabilityZone: string
 }
 
-/** Delay that a running request adds for every other request at the target. Unit: prompt tokens. */
-const RUNNING_REQUEST_COST_TOKENS = 40
+/** Cost of a target whose slots are all in use; a partly used one costs its share. Unit: prompt tokens. */
+const FULL_TARGET_COST_TOKENS = 7200
 
 /** Cost of each request in excess of the target's slots. Unit: prompt tokens. */
 const QUEUED_REQUEST_COST_TOKENS = 20_000
@@ -37,6 +38,9 @@
 /** Cost of a plain service whose slots are all in use; a partly used one costs its share. Unit: prompt tokens. */
 const FULL_PLAIN_TARGET_COST_TOKENS = 10_000
 
+/** Number of values that a draw can take. */
+const DRAW_STEPS = 1024
+
 /** Prompt length at which attention, whose time grows quadratically, takes as long as all other computation. */
 const ATTENTION_PARITY_TOKENS = 32_000
 
@@ -64,8 +68,11 @@
  * Balances load against reuse of cached prompts: a prefix stays at the target that read it while the queue there is
  * short, and is otherwise copied to another target rather than read again. Rendezvous hashing gives each prefix an
  * affinity target on which all routers agree without communicating.
+ *
+ * What other routers have in flight is known only with an error. With a random source, each choice draws the numbers of their requests from
+ * what is believed of them (Thompson sampling), so that routers with the same reports don't all choose the same target.
  */
-export function chooseTarget (board: boards.TargetBoard, request: PlacementRequest, tried: ReadonlySet<string>, now: number, isPermitted: TargetFilter = () => true): Placement | undefined {
+export function chooseTarget (board: boards.TargetBoard, request: PlacementRequest, tried: ReadonlySet<string>, now: number, isPermitted: TargetFilter = () => true, source?: random.RandomSource): Placement | undefined {
   const untried = board.assignableTargets(request.service).filter((target) => !tried.has(target.entry.id))
   const healthy = untried.filter((target) => target.backoffUntil <= now)
   const sources = healthy.length > 0 ? healthy : untried
@@ -77,7 +84,7 @@
   const copyableTokens = copySource === undefined ? 0 : estimateCopyableTokens(board, copySource, request, now)
   const target = maximumBy(
     candidates,
-    (candidate) => -estimateDelay(candidate, request, cachedTokens.get(candidate) ?? 0, copyableTokens),
+    (candidate) => -estimateDelay(candidate, drawRequestsInFlight(candidate, source), request, cachedTokens.get(candidate) ?? 0, copyableTokens),
     (candidate, best) => candidate.lastStartedAt < best.lastStartedAt
   )
   if (target === undefined) return undefined
@@ -90,6 +97,14 @@
   return target.ownWork.requests + target.otherRoutersWork.requests
 }
 
+/** Draws the number of requests in flight at a target from a uniform distribution with the mean and the deviation of what is believed. */
+function drawRequestsInFlight (target: boards.TargetState, source: random.RandomSource | undefined): number {
+  const { requests, requestsDeviation } = target.otherRoutersWork
+  if (source === undefined || requestsDeviation === 0) return requestsInFlight(target)
+  const error = (2 * source.integer(DRAW_STEPS) / (DRAW_STEPS - 1) - 1) * Math.sqrt(3) * requestsDeviation
+  return target.ownWork.requests + Math.max(0, requests + error)
+}
+
 function affinityTargetId (candidates: readonly boards.TargetState[], request: PlacementRequest): string | undefined {
   const lastPart = request.sharedParts.at(-1)
   if (lastPart === undefined) return undefined
@@ -97,15 +112,14 @@
 }
 
 /** Estimates the delay at a target, in prompt tokens that could be read in the same time. */
-function estimateDelay (target: boards.TargetState, request: PlacementRequest, cachedTokens: number, copyableTokens: number): number {
+function estimateDelay (target: boards.TargetState, running: number, request: PlacementRequest, cachedTokens: number, copyableTokens: number): number {
   const { entry } = target
-  const running = requestsInFlight(target)
   const zoneCost = entry.availabilityZone === request.availabilityZone ? 0 : CROSS_ZONE_COST_TOKENS
   const baseCost = zoneCost + target.failureRatio * FAILURE_COST_TOKENS + Math.max(0, running + 1 - entry.slots) * QUEUED_REQUEST_COST_TOKENS
   if (request.promptTokens === 0) return baseCost + running / entry.slots * FULL_PLAIN_TARGET_COST_TOKENS
   const unreadTokens = target.ownWork.unreadTokens + target.otherRoutersWork.unreadTokens
   const savedByCopy = Math.max(0, copyableTokens - cachedTokens) * (1 - COPY_COST_SHARE)
-  return baseCost + running * RUNNING_REQUEST_COST_TOKENS + unreadTokens + request.promptTokens - cachedTokens - savedByCopy
+  return baseCost + running / entry.slots * FULL_TARGET_COST_TOKENS + unreadTokens + request.promptTokens - cachedTokens - savedByCopy
 }
 
 /** Returns the item with the highest measure, of equal ones the first that no other is preferred to; undefined for an empty list. */
--- a/packages/decisions/src/target-board.ts
+++ b/packages/decisions/src/target-board.ts
@@ -25,6 +25,8 @@
 /** Prompt parts remembered for each target. */
 const MAXIMUM_TRACKED_PARTS = 2000
 
+const NO_OTHER_WORK = { requests: 0, unreadTokens: 0, requestsDeviation: 0 } as const
+
 /** Work in flight at a target. */
 export interface WorkInFlight {
   requests: number
@@ -38,7 +40,7 @@
   /** Work sent by this router. */
   ownWork: WorkInFlight
   /** Work sent by the other routers, as estimated from their last heartbeats. */
-  otherRoutersWork: WorkInFlight
+  otherRoutersWork: workEstimate.EstimatedWork
   /** Decaying failure score of recent work, from 0 to 1. */
   failureRatio: number
   /** Monotonic time, in milliseconds, until which requests prefer other targets. */
@@ -84,7 +86,7 @@
     this.#targets.set(entry.id, {
       entry: { ...entry, leaving: entry.leaving || this.#leavingRuns.has(types.targetRunAtAddress(entry)) },
       ownWork: { requests: 0, unreadTokens: 0 },
-      otherRoutersWork: { requests: 0, unreadTokens: 0 },
+      otherRoutersWork: { ...NO_OTHER_WORK },
       failureRatio: 0,
       backoffUntil: 0,
       lastStartedAt: -Infinity,
@@ -141,9 +143,9 @@
     return Object.fromEntries(busy.map((target) => [target.entry.id, target.ownWork]))
   }
 
-  /** Sets the summed work of the other routers by target id; targets that are not in the map get none. */
-  setOtherRoutersWork (work: ReadonlyMap<string, WorkInFlight>): void {
-    for (const [id, target] of this.#targets) target.otherRoutersWork = work.get(id) ?? { requests: 0, unreadTokens: 0 }
+  /** Sets the work of the other routers by target id; targets that are not in the map get none. Without a deviation, it is taken as certain. */
+  setOtherRoutersWork (work: ReadonlyMap<string, WorkInFlight & Partial<workEstimate.EstimatedWork>>): void {
+    for (const [id, target] of this.#targets) target.otherRoutersWork = { ...NO_OTHER_WORK, ...work.get(id) }
   }
 
   /** Sets the work of the other routers to what their reports let expect now. */
--- a/packages/decisions/src/work-estimate.ts
+++ b/packages/decisions/src/work-estimate.ts
@@ -7,6 +7,12 @@
 /** Share of the newest request in the averages of a service's times. */
 const NEWEST_SHARE = 0.02
 
+/** Work in flight as it is believed to be. */
+export interface EstimatedWork extends boards.WorkInFlight {
+  /** Standard deviation of the number of requests. */
+  requestsDeviation: number
+}
+
 /** Time constants with which what is known of the work in flight grows old, in milliseconds. */
 export interface WorkLifetimes {
   /** Mean time that a request which is in flight stays so. */
@@ -43,13 +49,14 @@
 /**
  * Estimates the work of other routers now, by target, from their last reports. As a report ages, the part of its work that has ended since
  * is replaced by as much work spread evenly over the targets of the service: its router has sent new requests, and nobody knows where to.
- * Unlike an old report taken as it is, this does not make all routers avoid the same busy targets and meet at the same idle ones.
+ * Unlike an old report taken as it is, this does not make all routers avoid the same busy targets and meet at the same idle ones. The requests
+ * that are spread fall on a target like events of a Poisson process, which gives the deviation.
  */
-export function estimateWork (reports: Iterable<WorkReport>, serviceOfTarget: ReadonlyMap<string, string>, lifetimesOf: (service: string) => WorkLifetimes): Map<string, boards.WorkInFlight> {
-  const services = new Map<string, { targets: number, lifetimes: WorkLifetimes, spread: boards.WorkInFlight }>()
+export function estimateWork (reports: Iterable<WorkReport>, serviceOfTarget: ReadonlyMap<string, string>, lifetimesOf: (service: string) => WorkLifetimes): Map<string, EstimatedWork> {
+  const services = new Map<string, { targets: number, lifetimes: WorkLifetimes, spread: boards.WorkInFlight, variance: number }>()
   for (const service of serviceOfTarget.values()) {
     const known = services.get(service)
-    if (known === undefined) services.set(service, { targets: 1, lifetimes: lifetimesOf(service), spread: { requests: 0, unreadTokens: 0 } })
+    if (known === undefined) services.set(service, { targets: 1, lifetimes: lifetimesOf(service), spread: { requests: 0, unreadTokens: 0 }, variance: 0 })
     else known.targets += 1
   }
   const remaining = new Map<string, boards.WorkInFlight>()
@@ -62,15 +69,20 @@
       const sum = remaining.get(id) ?? { requests: 0, unreadTokens: 0 }
       remaining.set(id, { requests: sum.requests + requests * inFlightShare, unreadTokens: sum.unreadTokens + unreadTokens * unreadShare })
       service.spread.requests += requests * (1 - inFlightShare)
+      service.variance += requests * (1 - inFlightShare ** 2)
       service.spread.unreadTokens += unreadTokens * (1 - unreadShare)
     }
   }
-  const estimate = new Map<string, boards.WorkInFlight>()
+  const estimate = new Map<string, EstimatedWork>()
   for (const [id, name] of serviceOfTarget) {
     const service = services.get(name)
     if (service === undefined) continue
     const known = remaining.get(id) ?? { requests: 0, unreadTokens: 0 }
-    estimate.set(id, { requests: known.requests + service.spread.requests / service.targets, unreadTokens: known.unreadTokens + service.spread.unreadTokens / service.targets })
+    estimate.set(id, {
+      requests: known.requests + service.spread.requests / service.targets,
+      unreadTokens: known.unreadTokens + service.spread.unreadTokens / service.targets,
+      requestsDeviation: Math.sqrt(service.variance / service.targets)
+    })
   }
   return estimate
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -353,6 +353,7 @@
       clock: this.#clock,
       logger: this.#logger,
       board: this.#targetBoard,
+      random: this.#random,
       targetLimits: this.#targetLimits,
       targetRests: new decisions.targetRests.TargetRests(),
       permits: this.#targetPermits,
--- a/packages/gateway/src/target-chooser.ts
+++ b/packages/gateway/src/target-chooser.ts
@@ -20,6 +20,7 @@
   clock: decisions.clock.Clock
   logger: runtime.logging.Logger
   board: decisions.targetBoard.TargetBoard
+  random: decisions.random.RandomSource
   targetLimits: decisions.targetLimits.TargetLimits
   targetRests: decisions.targetRests.TargetRests
   permits: targetPermits.TargetPermits
@@ -132,7 +133,7 @@
       sharedParts: call.request.promptParts.slice(0, -1),
       promptTokens: call.request.promptTokens ?? 0,
       availabilityZone: this.#options.availabilityZone
-    }, triedTargets, now, ({ entry }) => this.#isAllowed(call, entry) && slots.hasRoom(entry))
+    }, triedTargets, now, ({ entry }) => this.#isAllowed(call, entry) && slots.hasRoom(entry), this.#options.random)
     const isLastResort = placement !== undefined && placement.target.backoffUntil > now
     if (isLastResort && this.#fullTargets(call, triedTargets).some((target) => target.backoffUntil <= now)) return undefined
     return placement?.copyFrom !== undefined && this.#isResting(placement.copyFrom.entry) ? { target: placement.target } : placement
--- a/packages/gateway/test/placement-replay.ts
+++ b/packages/gateway/test/placement-replay.ts
@@ -162,7 +162,7 @@
     const gateway = uniform() < (options.busyGatewayShare ?? 0) ? gateways[0] : gateways[random.integer(gatewayCount)]
     const promptTokens = Math.round(kind.common + kind.session - Math.log(uniform()) * kind.own)
     const placement = { service: 's', sharedParts: [{ id: `common-${kind.common}`, tokens: kind.common }, { id: session, tokens: kind.session }], promptTokens, availabilityZone: ZONES[gateway.index % 3] }
-    const choose = options.choose ?? ((board: Board) => decisions.placement.chooseTarget(board, placement, new Set(), now))
+    const choose = options.choose ?? ((board: Board) => decisions.placement.chooseTarget(board, placement, new Set(), now, () => true, gateway.random))
     const chosen = choose(gateway.board, placement, now, gateway.random)
     const engine = chosen === undefined ? undefined : engines.get(chosen.target.entry.id)
     if (engine === undefined) return
--- a/packages/gateway/test/target-chooser.test.ts
+++ b/packages/gateway/test/target-chooser.test.ts
@@ -36,6 +36,7 @@
   const chooser = new targetChoosers.TargetChooser({
     clock,
     board,
+    random: new decisions.random.SeededRandom(1),
     permits,
     slots: new connectionSlots.ConnectionSlots(() => Infinity),
     leavingAdmission: new decisions.leavingAdmission.LeavingAdmission(),
