Check a configuration before it is sent: rules, what callers notice, what differs

acaciaweir check read manifests only, and found errors of form only. It now also reads the platform's configuration, finds entries that can never match, limits that contradict each other and parts that nobody uses, and compares with another file or the version in force. Gateways log the names of findings in a version from the store. Not checked: attempts above the targets there are, totals below what is drawn.

--- a/packages/command-line/src/output.ts
+++ b/packages/command-line/src/output.ts
@@ -1,5 +1,6 @@
 import type * as decisions from '@acaciaweir/decisions'
 import type * as operators from '@acaciaweir/operators'
+import type * as checks from './configuration-check.js'
 import type * as files from './manifest-files.js'
 import type * as spend from './spend-report.js'
 
@@ -11,6 +12,20 @@
   return differences.map((difference) => `${difference.path}: ${formatValue(difference.before)} -> ${formatValue(difference.after)}`).join('\n')
 }
 
+const SEVERITY_COLOURS = { error: '\u001b[31m', warning: '\u001b[33m' } as const
+
+const COLOUR_END = '\u001b[0m'
+
+/** Formats the report of a check: findings, what callers notice, and differences, one a line. */
+export function formatCheckReport (label: string, report: checks.CheckReport, isTerminal: boolean): string {
+  const findings = report.findings.map(({ path, rule, severity, text }) => {
+    return `${isTerminal ? `${SEVERITY_COLOURS[severity]}${severity}${COLOUR_END}` : severity} ${path}: ${text} (${rule})`
+  })
+  const heading = findings.length === 0 ? `${label} is valid` : `${label}: ${findings.length} finding(s)`
+  const notices = report.notices.map(({ name, text }) => `notice: ${text} (${name})`)
+  return [heading, ...findings, ...notices, ...(report.differences === undefined ? [] : [formatDifferences(report.differences)])].join('\n')
+}
+
 /** Formats a table of budgets, each followed by its members. */
 export function formatBudgets (budgets: spend.BudgetSpend[]): string {
   const rows = budgets.flatMap((budget) => [
--- a/packages/command-line/src/program.ts
+++ b/packages/command-line/src/program.ts
@@ -5,6 +5,7 @@
 import * as runtime from '@acaciaweir/runtime'
 import * as commander from 'commander'
 import * as crypto from 'node:crypto'
+import * as checks from './configuration-check.js'
 import * as exits from './exit-codes.js'
 import * as changes from './manifest-changes.js'
 import * as files from './manifest-files.js'
@@ -48,10 +49,12 @@
 }
 
 function addManifestCommands (program: commander.Command): void {
-  program.command('check <file>').description('validate a manifest and list all errors').action((file: string) => {
-    const manifest = files.readManifestFile(file)
-    printResult(program, { valid: true, name: manifest.name }, () => `${file} is valid`)
-  })
+  program.command('check <file>').description('check a manifest or a configuration of the platform before it is sent')
+    .option('--against <file>', 'also list what differs from the version in this file')
+    .option('--in-force', 'also list what differs from the version in force', false)
+    .addOption(new commander.Option('--fail-on <severity>', 'least severity of a finding that fails the check').choices(Object.values(decisions.configurationRules.Severity)).default(decisions.configurationRules.Severity.error))
+    .addOption(new commander.Option('--format <format>', 'text, or json as with --json').choices(['text', 'json']).default('text'))
+    .action(async (file: string, options: CheckOptions) => { await check(program, file, options) })
   program.command('apply <file>').description('put a manifest in force')
     .requiredOption('--expect <generation>', 'generation that is in force now; 0 if there is none')
     .action(async (file: string, options: { expect: string }) => {
@@ -70,6 +73,34 @@
   })
 }
 
+interface CheckOptions {
+  against?: string
+  inForce: boolean
+  failOn: decisions.configurationRules.Severity
+  format: 'text' | 'json'
+}
+
+/** Prints the report of a check. Throws CommandError if it has findings that fail it. */
+async function check (program: commander.Command, file: string, options: CheckOptions): Promise<void> {
+  if (options.inForce && options.against !== undefined) throw new exits.CommandError('--against and --in-force exclude each other', exits.ExitCode.invalidInput)
+  const value = files.readJsonFile(file)
+  const report = checks.checkConfiguration(file, value, await previousVersion(program, value, options))
+  if (options.format === 'json') program.setOptionValue('json', true)
+  printResult(program, report, () => output.formatCheckReport(file, report, process.stdout.isTTY))
+  if (checks.hasFindingsAt(report, options.failOn)) throw new exits.CommandError(`the check found ${options.failOn === 'error' ? 'errors' : 'errors or warnings'}`, exits.ExitCode.failure)
+}
+
+async function previousVersion (program: commander.Command, value: unknown, options: CheckOptions): Promise<{ label: string, value: unknown } | undefined> {
+  if (options.against !== undefined) return { label: options.against, value: files.readJsonFile(options.against) }
+  if (!options.inForce) return undefined
+  if (!adapter.configuration.isConfiguration(value)) return { label: 'the manifest in force', value: (await readConfiguration(program)).manifest }
+  const { kind, name } = { kind: adapter.objectKinds.ObjectKind.configuration, name: adapter.objectKinds.CONFIGURATION_NAME }
+  const outcome = await createObjectStore(program).read(kind, name)
+  if (outcome.status === 'done') return { label: 'the configuration in force', value: outcome.result.value }
+  if (outcome.status === 'missing') throw new exits.CommandError('no configuration is in force', exits.ExitCode.failure)
+  throw new exits.CommandError(`the configuration in force cannot be read: ${outcome.reason}`, exits.ExitCode.unreachable)
+}
+
 function addChangeCommands (program: commander.Command): void {
   program.command('top-up <budget> <tokens>').description('add tokens to a budget')
     .option('--client-account <name>', 'also raise the cap of this client account by the same number of tokens')
@@ -130,6 +161,10 @@
 }
 
 function createClient (program: commander.Command): platform.platformClient.PlatformClient {
+  return new platform.keyedStore.KeyedStore(createObjectStore(program))
+}
+
+function createObjectStore (program: commander.Command): platform.objectStore.ObjectStore {
   const options = program.opts<GlobalOptions>()
   if (options.platformAddress === undefined) {
     throw new exits.CommandError('--platform-address (ACACIAWEIR_PLATFORM_ADDRESS) is missing', exits.ExitCode.invalidInput)
@@ -138,7 +173,7 @@
   // Scripts read the results from standard output, so log lines go to standard error.
   const logger = runtime.logging.createLogger('warn', {}, STANDARD_ERROR_DESCRIPTOR)
   try {
-    return adapter.keyedStoreFactory.createKeyedStore(options.platformAddress, timeoutMs, logger)
+    return adapter.keyedStoreFactory.createObjectStore(options.platformAddress, timeoutMs, logger)
   } catch (error) {
     throw new exits.CommandError(`--platform-address (ACACIAWEIR_PLATFORM_ADDRESS) is invalid: ${(error as Error).message}`, exits.ExitCode.invalidInput)
   }
--- a/packages/decisions/src/agreement-types.ts
+++ b/packages/decisions/src/agreement-types.ts
@@ -22,6 +22,8 @@
   timeoutMs: number
   /** Latency objective, up to the complete answer or to the first event of a stream. */
   objectiveMs: number
+  /** Longest pause between two events of a stream that is on time; undefined if the route names none. */
+  pauseObjectiveMs?: number
   /** Priority; 0 is the most urgent. */
   rank: number
   /** Most targets at which one request may run, retries included. */
--- a/packages/gateway/src/configuration-watch.ts
+++ b/packages/gateway/src/configuration-watch.ts
@@ -31,6 +31,7 @@
   applyIfNewer (agreement: decisions.agreementTypes.Agreement, source: AgreementSource): void {
     if (this.#table !== undefined && agreement.version <= this.#table.agreement.version) return
     this.logger.info({ event: 'agreement-in-force', version: agreement.version, previous: this.version, source, routes: agreement.routes.length, accounts: agreement.accounts?.length })
+    if (source === AgreementSource.store) this.#logFindings(agreement)
     this.#table = new decisions.routeTable.RouteTable(agreement)
     this.#onAgreement(this.#table)
   }
@@ -45,6 +46,12 @@
     }
   }
 
+  /** Names the rules that an agreement breaks. The gateways that get it from this one do not repeat them. */
+  #logFindings (agreement: decisions.agreementTypes.Agreement): void {
+    const findings = decisions.configurationRules.findAll(decisions.agreementRules.agreementRules, agreement)
+    if (findings.length > 0) this.logger.warn({ event: 'agreement-findings', version: agreement.version, rules: [...new Set(findings.map(({ rule }) => rule))], findings: findings.length })
+  }
+
   #applyObject (object: platform.objectStore.StoreObject): void {
     if (object.name !== adapter.objectKinds.CONFIGURATION_NAME) return
     try {
