Keep a watch open for two seconds again

restored-store.test.ts failed with three: 'does not hide a route that was added under a revision that is given out again' (404, 404 where 200, 200 are asked for). A watch from a revision of the lost history hides a new configuration for as long as it is held open, and two seconds are the bound on the smallest deployments.

--- a/packages/gateway/src/object-watch.ts
+++ b/packages/gateway/src/object-watch.ts
@@ -3,7 +3,7 @@
 import type * as runtime from '@acaciaweir/runtime'
 
 /** Time for which the store holds a watch open without changes, in milliseconds. A silent connection is noticed after this time plus the store client's margin. */
-const WATCH_WAIT_MS = 3000
+const WATCH_WAIT_MS = 2000
 
 /** Delay before the next watch after one that returned changes, in milliseconds. Targets that register or leave together then cost one call instead of one each. */
 const EVENT_BATCH_DELAY_MS = 200
