Deal the targets of a zone out to its gateways, which prefer their own

Cause: prompts that other gateways sent since their last report delay the next one, and no report tells of them in time. Gateways that know the same members now prefer different targets of their zone for model requests, and go to others when theirs are busy.

--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -20,6 +20,12 @@
 /** Cost of crossing availability zones; keeps traffic local between otherwise equal targets. Unit: prompt tokens. */
 const CROSS_ZONE_COST_TOKENS = 1200
 
+/**
+ * Cost of a target that other routers prefer: prompts are being read there of which this router has not heard. Unit: prompt tokens.
+ * Lower than the cost of one request in excess of the slots, so that routers lend each other their targets.
+ */
+const PREFERRED_BY_OTHERS_COST_TOKENS = 5000
+
 /** Cost of a target whose recent work all failed. Unit: prompt tokens. */
 const FAILURE_COST_TOKENS = 60_000
 
@@ -119,7 +125,8 @@
   if (request.promptTokens === 0) return baseCost + running / entry.slots * FULL_PLAIN_TARGET_COST_TOKENS
   const unreadTokens = target.ownWork.unreadTokens + target.otherRoutersWork.unreadTokens
   const savedByCopy = Math.max(0, copyableTokens - cachedTokens) * (1 - COPY_COST_SHARE)
-  return baseCost + running / entry.slots * FULL_TARGET_COST_TOKENS + unreadTokens + request.promptTokens - cachedTokens - savedByCopy
+  const othersCost = target.isPreferred ? 0 : PREFERRED_BY_OTHERS_COST_TOKENS
+  return baseCost + othersCost + running / entry.slots * FULL_TARGET_COST_TOKENS + unreadTokens + request.promptTokens - cachedTokens - savedByCopy
 }
 
 /** Returns the item with the highest measure, of equal ones the first that no other is preferred to; undefined for an empty list. */
