--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -61,9 +61,14 @@
 /** Returns true if a request may go to a target at present. */
 export type TargetFilter = (target: boards.TargetState) => boolean
 
+/** Why a target was chosen: its cached prompt parts, its place among the router's preferred targets, or its room although others prefer it. */
+export const PlacementReason = { cached: 'cached', preferred: 'preferred', lent: 'lent' } as const
+export type PlacementReason = typeof PlacementReason[keyof typeof PlacementReason]
+
 /** The target chosen for a request and, optionally, another target from whose cache it copies shared prompt parts. */
 export interface Placement {
   target: boards.TargetState
+  reason: PlacementReason
   copyFrom?: boards.TargetState
 }
 
@@ -94,8 +99,10 @@
     (candidate, best) => candidate.lastStartedAt < best.lastStartedAt
   )
   if (target === undefined) return undefined
-  const savedTokens = copySource === undefined ? 0 : (cachedTokens.get(copySource) ?? 0) - (cachedTokens.get(target) ?? 0)
-  return { target, copyFrom: savedTokens >= MINIMUM_COPIED_TOKENS && copySource !== target ? copySource : undefined }
+  const ownCachedTokens = cachedTokens.get(target) ?? 0
+  const savedTokens = copySource === undefined ? 0 : (cachedTokens.get(copySource) ?? 0) - ownCachedTokens
+  const unreadReason = target.isPreferred ? PlacementReason.preferred : PlacementReason.lent
+  return { target, reason: ownCachedTokens > 0 ? PlacementReason.cached : unreadReason, copyFrom: savedTokens >= MINIMUM_COPIED_TOKENS && copySource !== target ? copySource : undefined }
 }
 
 /** Returns the number of requests in flight at a target from all routers, as far as this router knows. */
--- a/packages/decisions/src/target-board.ts
+++ b/packages/decisions/src/target-board.ts
@@ -136,6 +136,11 @@
     return [...this.#targets.values()].filter((target) => target.entry.service === service && !target.entry.leaving)
   }
 
+  /** Returns a value of each target by its id, for metrics. */
+  gauge (valueOf: (target: TargetState) => number): Record<string, number> {
+    return Object.fromEntries([...this.#targets].map(([id, target]) => [id, valueOf(target)]))
+  }
+
   entries (): types.TargetEntry[] {
     return [...this.#targets.values()].map((target) => target.entry)
   }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -10,6 +10,8 @@
   heldPromptParts: () => number
   limitedTargets: () => number
   freeTokens: () => Record<string, number>
+  targetRequests: () => Record<string, number>
+  targetRoom: () => Record<string, number>
   storeCalls: () => platform.objectStore.StoreCallCounts
   droppedLogLines: () => number
 }
@@ -25,6 +27,7 @@
   readonly #readDelaySeconds: metrics.Histogram
   readonly #connectionDrops: metrics.Counter
   readonly #permits: metrics.Counter
+  readonly #choices: metrics.Counter
 
   constructor (source: GaugeSource) {
     const registers = [this.#server.registry]
@@ -35,6 +38,9 @@
     this.#readDelaySeconds = new metrics.Histogram({ name: 'acaciaweir_read_delay_seconds', help: 'Longest time for which a request can have waited to be read', buckets, registers })
     this.#connectionDrops = new metrics.Counter({ name: 'acaciaweir_connection_drops_total', help: 'Times that the connections waiting to be accepted were dropped', registers })
     this.#permits = new metrics.Counter({ name: 'acaciaweir_target_permits_total', help: 'Permits asked for, for targets that name a limit', labelNames: ['outcome'], registers })
+    this.#choices = new metrics.Counter({ name: 'acaciaweir_target_choices_total', help: 'Choices of a target by reason', labelNames: ['reason'], registers })
+    this.#server.addLabelledGauge('acaciaweir_target_requests', 'Requests in flight at a target from all gateways, as estimated', 'target', source.targetRequests)
+    this.#server.addLabelledGauge('acaciaweir_target_room', 'Free slots of a target, as estimated; negative if requests queue there', 'target', source.targetRoom)
     this.#server.addGauge('acaciaweir_limited_targets', 'Targets that name a limit', source.limitedTargets)
     this.#server.addGauge('acaciaweir_requests_in_progress', 'Requests in progress', source.requestsInProgress)
     this.#server.addGauge('acaciaweir_agreement_version', 'Version of the agreement in force', source.agreementVersion)
@@ -54,6 +60,10 @@
     this.#firstEventSeconds.observe(seconds)
   }
 
+  countChoice (reason: string): void {
+    this.#choices.inc({ reason })
+  }
+
   observeReadDelay (seconds: number): void {
     this.#readDelaySeconds.observe(seconds)
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -360,7 +360,8 @@
       slots: new connectionSlots.ConnectionSlots(connectionLimit),
       leavingAdmission: this.#leavingAdmission,
       availabilityZone: this.#settings.availabilityZone,
-      announce
+      announce,
+      onChosen: (reason) => { this.#metrics.countChoice(reason) }
     })
     const flow = new flows.RequestFlow({
       clock: this.#clock,
@@ -400,6 +401,8 @@
       heldPromptParts: () => this.#promptParts.heldParts,
       limitedTargets: () => this.#targetLimits.size,
       freeTokens: () => this.#tokenTask.freeTokens(),
+      targetRequests: () => this.#targetBoard.gauge(decisions.placement.requestsInFlight),
+      targetRoom: () => this.#targetBoard.gauge((target) => target.entry.slots - decisions.placement.requestsInFlight(target)),
       storeCalls: () => this.#store.callCounts,
       droppedLogLines: this.#options.log.droppedLines
     }
--- a/packages/gateway/src/target-chooser.ts
+++ b/packages/gateway/src/target-chooser.ts
@@ -29,6 +29,7 @@
   availabilityZone: string
   /** Sends a heartbeat with what a target said to the other gateways. */
   announce: () => void
+  onChosen: (reason: decisions.placement.PlacementReason) => void
 }
 
 /** A target that was chosen for a request, with a connection to it. Call `release` once, when the request has ended or is not sent. */
@@ -136,12 +137,13 @@
     }, triedTargets, now, ({ entry }) => this.#isAllowed(call, entry) && slots.hasRoom(entry), this.#options.random)
     const isLastResort = placement !== undefined && placement.target.backoffUntil > now
     if (isLastResort && this.#fullTargets(call, triedTargets).some((target) => target.backoffUntil <= now)) return undefined
-    return placement?.copyFrom !== undefined && this.#isResting(placement.copyFrom.entry) ? { target: placement.target } : placement
+    return placement?.copyFrom !== undefined && this.#isResting(placement.copyFrom.entry) ? { ...placement, copyFrom: undefined } : placement
   }
 
   /** Takes a connection to the target, and counts the call there before it is sent. */
   #take (call: calls.Call, placement: decisions.placement.Placement): ChosenTarget {
-    const { board, clock, slots } = this.#options
+    const { board, clock, onChosen, slots } = this.#options
+    onChosen(placement.reason)
     const stopCounting = board.recordChoice(placement.target.entry.id, decisions.placement.promptReadingCost(call.request.promptTokens ?? 0), clock.now())
     const releaseConnection = slots.take(placement.target.entry)
     const release = (): void => {
--- a/packages/gateway/test/target-chooser.test.ts
+++ b/packages/gateway/test/target-chooser.test.ts
@@ -44,7 +44,8 @@
     targetLimits: new decisions.targetLimits.TargetLimits(() => {}),
     targetRests: new decisions.targetRests.TargetRests(),
     availabilityZone: 'zone-a',
-    announce: () => {}
+    announce: () => {},
+    onChosen: () => {}
   })
   return { board, chooser, entries }
 }
