--- a/packages/gateway/test/placement-replay.ts
+++ b/packages/gateway/test/placement-replay.ts
@@ -2,8 +2,6 @@
 import type * as routers from '@acaciaweir/routers'
 import * as tables from '../src/peer-table.js'
 
-type Board = decisions.targetBoard.TargetBoard
-
 const HEARTBEAT_INTERVAL_MS = 300
 const HEARTBEATS_PER_ROUND = 2
 const SUM_INTERVAL_MS = 50
@@ -28,9 +26,6 @@
 
 interface Work { kind: Kind, session: string, placement: decisions.placement.PlacementRequest, arrivedAt: number, gateway: Gateway, readTokens: number }
 
-/** Chooses a target; replaced to weigh other ways. */
-export type Choose = (board: Board, request: decisions.placement.PlacementRequest, now: number, random: decisions.random.RandomSource) => decisions.placement.Placement | undefined
-
 export interface ReplayOptions {
   seed: number
   gateways: number
@@ -47,9 +42,6 @@
   busyGatewayShare?: number
   /** Share of the requests of the last kind that belong to one session. */
   hotSessionShare?: number
-  choose?: Choose
-  /** Requests at other gateways' targets, as this gateway believes. */
-  believe?: (gateway: Gateway, now: number) => Map<string, decisions.targetBoard.WorkInFlight>
 }
 
 export interface ReplayResult {
@@ -67,15 +59,13 @@
   beliefError: number
   readAgainTokens: number
   copies: number
-  /** Largest share of one target in the requests of the hot session. */
-  hotShare: number
   /** Changes of the target of consecutive requests of a session that read its prompt anew, as a share of requests. */
   moves: number
 }
 
-interface Gateway { index: number, board: Board, table: tables.PeerTable, address: string, random: decisions.random.RandomSource, next: number, summedAt: number, sequence: number }
+interface Gateway { index: number, board: decisions.targetBoard.TargetBoard, table: tables.PeerTable, address: string, random: decisions.random.RandomSource, next: number, summedAt: number, sequence: number }
 
-interface Engine { id: string, speed: number, running: number, queue: Array<() => void>, readUntil: number, sessions: Set<string>, byGateway: number[], hot: number }
+interface Engine { id: string, speed: number, running: number, queue: Array<() => void>, readUntil: number, sessions: Set<string>, byGateway: number[] }
 
 /** Plays gateways that know each other's requests only from heartbeats, and engines that serve them, in virtual time. */
 export function replay (options: ReplayOptions): ReplayResult {
@@ -86,7 +76,7 @@
   const engines = new Map<string, Engine>()
   for (let index = 0; index < targets; index++) {
     const id = `i-${(index * 7919 + options.seed).toString(16)}`
-    engines.set(id, { id, speed: index % 4 === 3 ? options.slowSpeed ?? 1 : 1, running: 0, queue: [], readUntil: 0, sessions: new Set(), byGateway: new Array(gatewayCount).fill(0), hot: 0 })
+    engines.set(id, { id, speed: index % 4 === 3 ? options.slowSpeed ?? 1 : 1, running: 0, queue: [], readUntil: 0, sessions: new Set(), byGateway: new Array(gatewayCount).fill(0) })
   }
   const entries = [...engines.keys()].map((id, index) => ({ id, service: 's', address: `10.1.0.${index}:1`, availabilityZone: ZONES[index % 3], slots, leaving: false }))
   const gateways: Gateway[] = Array.from({ length: gatewayCount }, (_value, index) => {
@@ -110,8 +100,7 @@
       to.table.recordHeartbeat(message, at)
       if (at - to.summedAt >= SUM_INTERVAL_MS) {
         to.summedAt = at
-        if (options.believe === undefined) to.board.estimateOtherRoutersWork(to.table.workReports(at))
-        else to.board.setOtherRoutersWork(options.believe(to, at))
+        to.board.estimateOtherRoutersWork(to.table.workReports(at))
       }
       if (asksForAnswer) send(to, from, false, at)
     })
@@ -126,7 +115,7 @@
 
   const firstEvents: number[] = []
   const lastTargets = new Map<string, string>()
-  const result = { requests: 0, late: 0, waitedHalf: 0, longestQueue: 0, readAgainTokens: 0, copies: 0, moves: 0, hot: 0, samples: 0, bad: 0, error: 0, errorSamples: 0 }
+  const result = { requests: 0, late: 0, waitedHalf: 0, longestQueue: 0, readAgainTokens: 0, copies: 0, moves: 0, samples: 0, bad: 0, error: 0, errorSamples: 0 }
 
   const serve = (engine: Engine, work: Work, copies: boolean, now: number): void => {
     const { kind, session, gateway, placement } = work
@@ -166,15 +155,13 @@
     const gateway = uniform() < (options.busyGatewayShare ?? 0) ? gateways[0] : gateways[random.integer(gatewayCount)]
     const promptTokens = Math.round(kind.common + kind.session - Math.log(uniform()) * kind.own)
     const placement = { service: 's', sharedParts: [{ id: `common-${kind.common}`, tokens: kind.common }, { id: session, tokens: kind.session }], promptTokens, availabilityZone: ZONES[gateway.index % 3] }
-    const choose = options.choose ?? ((board: Board) => decisions.placement.chooseTarget(board, placement, new Set(), now, () => true, gateway.random))
-    const chosen = choose(gateway.board, placement, now, gateway.random)
+    const chosen = decisions.placement.chooseTarget(gateway.board, placement, new Set(), now, () => true, gateway.random)
     const engine = chosen === undefined ? undefined : engines.get(chosen.target.entry.id)
     if (engine === undefined) return
     if (now > WARM_UP_MS) result.requests += 1
     const readTokens = decisions.placement.promptReadingCost(promptTokens)
     gateway.board.recordStart(engine.id, readTokens, placement.sharedParts.map(({ id }) => id), now)
     engine.byGateway[gateway.index] += 1
-    if (isHot) { engine.hot += 1; result.hot += 1 }
     const start = (): void => { serve(engine, { kind, session, placement, arrivedAt: now, gateway, readTokens }, chosen?.copyFrom !== undefined, events.now) }
     if (engine.running < slots) start()
     else engine.queue.push(start)
@@ -219,7 +206,6 @@
     beliefError: result.error / result.errorSamples,
     readAgainTokens: result.readAgainTokens / result.requests,
     copies: result.copies / result.requests,
-    hotShare: result.hot === 0 ? 0 : Math.max(...[...engines.values()].map((engine) => engine.hot)) / result.hot,
     moves: result.moves / result.requests
   }
 }
