--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -22,9 +22,9 @@
 
 /**
  * Cost of a target that other routers prefer: prompts are being read there of which this router has not heard. Unit: prompt tokens.
- * Lower than the cost of one request in excess of the slots, so that routers lend each other their targets.
+ * Lower than the cost of reading a long shared prompt again, so that cached prompts are used where they are, and routers lend each other their targets.
  */
-const PREFERRED_BY_OTHERS_COST_TOKENS = 6000
+const PREFERRED_BY_OTHERS_COST_TOKENS = 3000
 
 /** Cost of a target whose recent work all failed. Unit: prompt tokens. */
 const FAILURE_COST_TOKENS = 60_000
