--- a/packages/gateway/test/fleet.ts
+++ b/packages/gateway/test/fleet.ts
@@ -15,6 +15,8 @@
   plainTargets?: number
   accounts?: standIns.platformStandIn.ClientAccount[]
   engineOptions?: Partial<standIns.targetServer.TargetOptions>
+  /** Bound for evacuations in the gateways' settings, in milliseconds; none by default. */
+  evacuateMs?: number
 }
 
 const defaultAccounts: standIns.platformStandIn.ClientAccount[] = [{ name: 'depot', apiKey: 'key-depot', prepaidTokens: 1_000_000 }]
@@ -36,7 +38,7 @@
     for (let index = 0; index < (options.engines ?? 1); index++) await fleet.platform.addTarget('engines', `engines-${index}`, options.engineOptions)
     for (let index = 0; index < (options.plainTargets ?? 0); index++) await fleet.platform.addTarget('orders', `orders-${index}`)
     fleet.platform.configure()
-    for (let index = 0; index < options.gateways; index++) fleet.settings.push(await settingsOnFreePorts(index, storeAddress))
+    for (let index = 0; index < options.gateways; index++) fleet.settings.push(Object.assign(await settingsOnFreePorts(index, storeAddress), { evacuateMs: options.evacuateMs }))
     for (const settings of fleet.settings) settings.seedPeers = fleet.settings.slice(0, 3).map((other) => other.peerListen)
     for (const settings of fleet.settings) await fleet.startGateway(settings)
     await Promise.all(fleet.settings.map(async (_settings, index) => { await fleet.waitUntilReady(index) }))
