Send nothing new to the targets of an evacuated zone

Cause: nobody read the operators' entries for evacuated zones.

TargetBoard leaves evacuated targets out of those that can be assigned; a request that waited for a permit, a connection or a rest is not sent there, nor is a cache copied from there. Where a service is confined to evacuated zones its requests are refused at once with 503 and a time.

--- a/packages/decisions/src/target-board.ts
+++ b/packages/decisions/src/target-board.ts
@@ -1,4 +1,5 @@
 import * as types from './agreement-types.js'
+import * as zoneEvacuations from './zone-evacuations.js'
 
 /** Outcome of a dispatch to a target, as far as it concerns the target's health. */
 export const TargetResult = { served: 'served', refused: 'refused', failed: 'failed', unreachable: 'unreachable', undecided: 'undecided' } as const
@@ -60,9 +61,14 @@
  */
 export class TargetBoard {
   readonly #targets = new Map<string, TrackedTarget>()
+  readonly #evacuations: zoneEvacuations.ZoneEvacuations
   /** Runs that are leaving, with their addresses. */
   readonly #leavingRuns = new Set<string>()
 
+  constructor (evacuations = new zoneEvacuations.ZoneEvacuations()) {
+    this.#evacuations = evacuations
+  }
+
   /** Replaces all entries. Targets that are not in the list are dropped. */
   replaceEntries (entries: readonly types.TargetEntry[]): void {
     const present = new Set(entries.map((entry) => entry.id))
@@ -124,8 +130,23 @@
     return this.#targets.get(id)
   }
 
-  /** Returns the targets of a service that are not leaving. */
+  /** Returns the targets of a service that are not leaving, in zones that are not evacuated. */
   assignableTargets (service: string): TargetState[] {
+    return this.#stayingTargets(service).filter((target) => !this.isEvacuated(target.entry))
+  }
+
+  /** Returns true if the target's zone is evacuated, so that it gets nothing new. */
+  isEvacuated (entry: types.TargetEntry): boolean {
+    return this.#evacuations.isEvacuated(entry.availabilityZone)
+  }
+
+  /** Returns the evacuated zones to which a service is confined; empty if it has a target elsewhere, or none at all. */
+  confiningZones (service: string): string[] {
+    const targets = this.#stayingTargets(service)
+    return targets.every((target) => this.isEvacuated(target.entry)) ? [...new Set(targets.map((target) => target.entry.availabilityZone))] : []
+  }
+
+  #stayingTargets (service: string): TargetState[] {
     return [...this.#targets.values()].filter((target) => target.entry.service === service && !target.entry.leaving)
   }
 
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -42,6 +42,8 @@
   permitWaitMs?: number
   /** All targets that could take the call want no requests from this gateway. */
   areTargetsResting?: boolean
+  /** Evacuated zones that hold all targets of the service; empty if some target is elsewhere. */
+  evacuatedZones?: string[]
   /** Events of the target's stream that were forwarded to the caller. */
   events: number
   /** Id of the last event that reached the caller, after which a target resumes the stream. Starts at the id that the caller sent. */
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -340,6 +340,7 @@
       promptParts: sharedPartsForLog(call),
       heldPart: call.heldPart,
       permitWaitMs: call.permitWaitMs === undefined ? undefined : Math.round(call.permitWaitMs),
+      evacuatedZones: call.evacuatedZones?.length === 0 ? undefined : call.evacuatedZones,
       budget: call.budget,
       waitsMs: call.request.remainingMs,
       ...arrivalForLog(call.arrival),
--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -2,6 +2,7 @@
 import type * as platform from '@acaciaweir/platform'
 import type * as routers from '@acaciaweir/routers'
 import * as configurations from './configuration-watch.js'
+import type * as evacuationWatches from './evacuation-watch.js'
 import type * as fleetViews from './fleet-view.js'
 import type * as peerTables from './peer-table.js'
 import type * as targetWatches from './target-watch.js'
@@ -25,6 +26,7 @@
   view: fleetViews.FleetView
   configuration: configurations.ConfigurationWatch
   targets: targetWatches.TargetWatch
+  evacuations: evacuationWatches.EvacuationWatch
   tokens: tokenAllocators.TokenAllocator
   tokenPages: tokenPageClients.TokenPageClient
   store: platform.objectStore.ObjectStore
@@ -40,7 +42,7 @@
 export class FleetExchange {
   readonly #options: FleetExchangeOptions
   #agreementConfirmedAt = -Infinity
-  /** Time as of which other gateways confirmed that the agreement and the targets known here are the newest. */
+  /** Time as of which other gateways confirmed that the agreement, the targets and the evacuations known here are the newest. */
   #knowledgeConfirmedAt = -Infinity
   #workSummedAt = -Infinity
   /** Versions of the agreement that other gateways have reported before they were in force here, in ascending order. */
@@ -60,10 +62,10 @@
     return Math.min(this.#options.configuration.silenceMs(), this.#options.clock.now() - this.#agreementConfirmedAt)
   }
 
-  /** Time since the agreement and the targets known here were current, in milliseconds, by the store or by another gateway. */
+  /** Time since the agreement, the targets and the evacuations known here were current, in milliseconds, by the store or by another gateway. */
   knowledgeAgeMs (): number {
-    const { clock, configuration, targets } = this.#options
-    return Math.min(Math.max(configuration.silenceMs(), targets.silenceMs()), clock.now() - this.#knowledgeConfirmedAt)
+    const { clock, configuration, evacuations, targets } = this.#options
+    return Math.min(Math.max(configuration.silenceMs(), targets.silenceMs(), evacuations.silenceMs()), clock.now() - this.#knowledgeConfirmedAt)
   }
 
   /** Returns true if this gateway has to watch the store itself. */
@@ -84,7 +86,7 @@
 
   /** Builds a heartbeat. It carries the token counts only in a small fleet, where every gateway exchanges tokens with all others. */
   buildHeartbeat (): Omit<routers.gatewayMessages.GatewayHeartbeat, 'sequence' | 'asksForAnswer'> {
-    const { board, clock, configuration, peers, promptParts, store, targetLimits, targets, tokenPages, tokens, view } = this.#options
+    const { board, clock, configuration, evacuations, peers, promptParts, store, targetLimits, targets, tokenPages, tokens, view } = this.#options
     const ownDraws = tokenPages.ownDraws()
     const sharesTokenCounts = view.gatewayCount() <= decisions.fleetSize.MAXIMUM_SMALL_FLEET_SIZE
     return {
@@ -102,7 +104,10 @@
       spending: sharesTokenCounts ? tokens.spending() : {},
       promptParts: promptParts.reports(clock.now()),
       targetLimits: targetLimits.reports(clock.now()),
-      leavingTargets: board.entries().filter((entry) => entry.leaving).map((entry) => entry.id)
+      leavingTargets: board.entries().filter((entry) => entry.leaving).map((entry) => entry.id),
+      evacuatedZones: evacuations.report(new Set(board.entries().map((entry) => entry.availabilityZone))),
+      evacuationsRevision: evacuations.version.revision,
+      evacuationsEpoch: evacuations.version.epoch
     }
   }
 
@@ -111,13 +116,14 @@
    * none yet or doesn't watch the store itself.
    */
   applyHeartbeat (heartbeat: routers.gatewayMessages.GatewayHeartbeat): void {
-    const { board, clock, configuration, peers, promptParts, store, targetLimits, targets, tokenPages } = this.#options
+    const { board, clock, configuration, evacuations, peers, promptParts, store, targetLimits, targets, tokenPages } = this.#options
     const now = clock.now()
     if (heartbeat.drawnChange > 0) tokenPages.learnDraws(heartbeat.sender.incarnation, { change: heartbeat.drawnChange, tokens: heartbeat.drawnTokens })
     store.learnEpoch(heartbeat.storeEpoch)
     promptParts.merge(heartbeat.promptParts, now)
     targetLimits.merge(heartbeat.targetLimits, now)
     for (const id of heartbeat.leavingTargets) board.markLeaving(id)
+    evacuations.applyFromPeer(heartbeat.evacuatedZones, { epoch: heartbeat.evacuationsEpoch, revision: heartbeat.evacuationsRevision })
     if (now - this.#workSummedAt >= WORK_SUM_INTERVAL_MS) {
       this.#workSummedAt = now
       board.setOtherRoutersWork(peers.othersWork(now))
@@ -131,6 +137,8 @@
 
   #confirmKnowledge (heartbeat: routers.gatewayMessages.GatewayHeartbeat, now: number): void {
     const { sender, agreementVersion } = heartbeat
+    // A gateway of an earlier version says nothing of evacuations.
+    if (this.#options.evacuations.isEnabled && heartbeat.evacuationsEpoch === 0) return
     const isKnownHere = agreementVersion <= this.#options.configuration.version && !decisions.storeVersion.isNewer(targetsVersion(heartbeat), this.#options.targets.version)
     if (sender.knowledgeAgeMs > 0 && isKnownHere) this.#knowledgeConfirmedAt = Math.max(this.#knowledgeConfirmedAt, now - sender.knowledgeAgeMs)
   }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -9,6 +9,7 @@
   livePeers: () => number
   heldPromptParts: () => number
   limitedTargets: () => number
+  evacuatedZones: () => number
   freeTokens: () => Record<string, number>
   storeCalls: () => platform.objectStore.StoreCallCounts
   droppedLogLines: () => number
@@ -36,6 +37,7 @@
     this.#connectionDrops = new metrics.Counter({ name: 'acaciaweir_connection_drops_total', help: 'Times that the connections waiting to be accepted were dropped', registers })
     this.#permits = new metrics.Counter({ name: 'acaciaweir_target_permits_total', help: 'Permits asked for, for targets that name a limit', labelNames: ['outcome'], registers })
     this.#server.addGauge('acaciaweir_limited_targets', 'Targets that name a limit', source.limitedTargets)
+    this.#server.addGauge('acaciaweir_evacuated_zones', 'Zones that an operator has evacuated', source.evacuatedZones)
     this.#server.addGauge('acaciaweir_requests_in_progress', 'Requests in progress', source.requestsInProgress)
     this.#server.addGauge('acaciaweir_agreement_version', 'Version of the agreement in force', source.agreementVersion)
     this.#server.addGauge('acaciaweir_live_peers', 'Other gateways heard lately', source.livePeers)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import * as configurations from './configuration-watch.js'
 import * as logs from './decision-log.js'
 import * as entries from './entry-server.js'
+import * as evacuationWatches from './evacuation-watch.js'
 import * as fleetExchanges from './fleet-exchange.js'
 import * as fleetViews from './fleet-view.js'
 import * as metrics from './gateway-metrics.js'
@@ -76,7 +77,8 @@
   readonly #incarnation: string
   readonly #random: decisions.random.RandomSource
   readonly #store: platform.objectStore.ObjectStore
-  readonly #targetBoard = new decisions.targetBoard.TargetBoard()
+  readonly #evacuations = new decisions.zoneEvacuations.ZoneEvacuations()
+  readonly #targetBoard = new decisions.targetBoard.TargetBoard(this.#evacuations)
   readonly #promptParts: decisions.promptPartBoard.PromptPartBoard
   readonly #targetLimits: decisions.targetLimits.TargetLimits
   readonly #targetPermits: targetPermits.TargetPermits
@@ -87,6 +89,7 @@
   readonly #fleetView: fleetViews.FleetView
   readonly #configurationWatch: configurations.ConfigurationWatch
   readonly #targetWatch: targetWatches.TargetWatch
+  readonly #evacuationWatch: evacuationWatches.EvacuationWatch
   readonly #tokenPages: tokenPageClients.TokenPageClient
   readonly #tokenTask: tokenAllocators.TokenAllocator
   readonly #fleetExchange: fleetExchanges.FleetExchange
@@ -127,6 +130,12 @@
     const watchOptions = { store: this.#store, clock: this.#clock, logger: this.#logger, pauseMs }
     this.#configurationWatch = new configurations.ConfigurationWatch(watchOptions, (table) => { this.#applyAgreement(table) })
     this.#targetWatch = new targetWatches.TargetWatch(watchOptions, this.#targetBoard)
+    this.#evacuationWatch = new evacuationWatches.EvacuationWatch({
+      ...watchOptions,
+      evacuations: this.#evacuations,
+      isEnabled: options.settings.evacuateMs !== undefined,
+      announce: () => { void this.#peerTask.announceSoon() }
+    })
     this.#tokenPages = new tokenPageClients.TokenPageClient({
       ...watchOptions,
       incarnation: this.#incarnation,
@@ -158,6 +167,7 @@
   async start (): Promise<void> {
     const callerListen = runtime.httpServer.parseListenAddress(this.#settings.callerListen)
     const peerListen = runtime.httpServer.parseListenAddress(this.#settings.peerListen)
+    this.#evacuationWatch.start()
     this.#configurationWatch.start()
     this.#targetWatch.start()
     await this.#callerServer.listen(callerListen.port, callerListen.address)
@@ -225,6 +235,7 @@
     this.#stopController.abort()
     this.#configurationWatch.stop()
     this.#targetWatch.stop()
+    this.#evacuationWatch.stop()
     this.#storeRecovery.stop()
     this.#tokenTask.stop()
     this.#peerTask.stop()
@@ -314,6 +325,7 @@
       view: this.#fleetView,
       configuration: this.#configurationWatch,
       targets: this.#targetWatch,
+      evacuations: this.#evacuationWatch,
       tokens: this.#tokenTask,
       tokenPages: this.#tokenPages,
       store: this.#store,
@@ -398,6 +410,7 @@
       livePeers: () => this.#peerTable.liveHeartbeats(this.#clock.now()).length,
       heldPromptParts: () => this.#promptParts.heldParts,
       limitedTargets: () => this.#targetLimits.size,
+      evacuatedZones: () => this.#evacuations.zones.length,
       freeTokens: () => this.#tokenTask.freeTokens(),
       storeCalls: () => this.#store.callCounts,
       droppedLogLines: this.#options.log.droppedLines
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -20,11 +20,14 @@
 /** Retry-after delay where no target can take the request, because all are full, in milliseconds. */
 const NO_TARGET_RETRY_AFTER_MS = 400
 
+/** Retry-after delay where all targets are in evacuated zones, in milliseconds. Operators evacuate zones for a while, and callers may try elsewhere. */
+const EVACUATED_RETRY_AFTER_MS = 2000
+
 /** Retry-after delay where the prepaid budget is out of reach, in milliseconds. */
 const BUDGET_RETRY_AFTER_MS = 1000
 
-/** Largest part by which the retry-after delay of a refusal is lengthened at random where all targets rest. Callers would otherwise return in the same moment. */
-const REST_RETRY_JITTER_SHARE = 0.25
+/** Largest part by which a retry-after delay is lengthened at random where all targets rest or are evacuated. Callers would otherwise return in the same moment. */
+const RETRY_JITTER_SHARE = 0.25
 
 /** Share of the remaining time after which a silent target of a repeatable request is not the only one asked. */
 const MAXIMUM_SILENCE_SHARE = 0.5
@@ -85,6 +88,7 @@
   async serve (call: calls.Call): Promise<string> {
     this.#options.retryAllowance.recordRequest(call.service, this.#options.clock.now())
     if (this.#isHeldBack(call)) return this.#refuseHeldPart(call)
+    if (this.#isConfined(call)) return this.#refuseConfined(call)
     const reservedTokens = this.#worstCaseTokens(call)
     if (reservedTokens > 0) {
       const refusal = await this.#reserve(call, reservedTokens)
@@ -109,6 +113,17 @@
     return 'held-part'
   }
 
+  /** Returns true if all targets that could take the call are in evacuated zones, and sets these zones. */
+  #isConfined (call: calls.Call): boolean {
+    call.evacuatedZones = this.#options.board.confiningZones(call.service)
+    return call.evacuatedZones.length > 0
+  }
+
+  #refuseConfined (call: calls.Call): string {
+    this.#refuse(call, 503, 'all targets are in evacuated zones', this.#lengthen(EVACUATED_RETRY_AFTER_MS))
+    return 'zones-evacuated'
+  }
+
   /** Returns the tokens to reserve: the prompt and the longest output, or 0 where no prepaid budget applies. */
   #worstCaseTokens (call: calls.Call): number {
     if (call.account?.prepaidTokens === undefined || call.request.promptTokens === undefined) return 0
@@ -385,15 +400,20 @@
   }
 
   #refuseWithoutTarget (call: calls.Call): string {
+    if (this.#isConfined(call)) return this.#refuseConfined(call)
     if (call.areTargetsResting && call.permitWaitMs !== undefined) {
-      const jitterMs = this.#options.random.integer(Math.ceil(call.permitWaitMs * REST_RETRY_JITTER_SHARE) + 1)
-      this.#refuse(call, 503, 'all targets want no requests now', call.permitWaitMs + jitterMs)
+      this.#refuse(call, 503, 'all targets want no requests now', this.#lengthen(call.permitWaitMs))
       return 'targets-rest'
     }
     this.#refuse(call, 503, 'no target can take the request now', call.permitWaitMs ?? NO_TARGET_RETRY_AFTER_MS)
     return call.permitWaitMs === undefined ? 'no-target' : 'at-limit'
   }
 
+  /** Lengthens a retry-after delay at random. */
+  #lengthen (milliseconds: number): number {
+    return milliseconds + this.#options.random.integer(Math.ceil(milliseconds * RETRY_JITTER_SHARE) + 1)
+  }
+
   #refuse (call: calls.Call, status: number, reason: string, retryAfterMs?: number): void {
     answers.sendRefusal(call.response, { status, reason, retryAfterMs }, call.deadlineAt - this.#options.clock.now())
   }
--- a/packages/gateway/src/target-chooser.ts
+++ b/packages/gateway/src/target-chooser.ts
@@ -15,6 +15,9 @@
 /** Interval at which a request that waits for a connection looks for a target anew, in milliseconds. Targets come, and others leave or rest. */
 const ROOM_CHECK_INTERVAL_MS = 100
 
+/** Interval at which a request that waits for a permit or for targets that rest checks whether all targets are in evacuated zones, in milliseconds. */
+const EVACUATION_CHECK_INTERVAL_MS = 100
+
 /** Dependencies of the choice of targets. */
 export interface TargetChooserOptions {
   clock: decisions.clock.Clock
@@ -70,7 +73,7 @@
     const placement = this.#choose(call, triedTargets)
     if (placement === undefined || placement.target.backoffUntil > clock.now()) return undefined
     const release = slots.take(placement.target.entry)
-    if (await permits.acquire(placement.target.entry) && this.#isStillWanted(placement.target.entry)) return { placement, release }
+    if (await permits.acquire(placement.target.entry) && this.#isStillWanted(placement.target.entry)) return { placement: this.#withoutBarredCopy(placement), release }
     release()
     return undefined
   }
@@ -93,8 +96,8 @@
         call.areTargetsResting = false
         const release = slots.take(placement.target.entry)
         const isPermitted = await permits.acquire(placement.target.entry)
-        // The caller may have left while the request waited for its permit, and the target may have left or asked for rest.
-        if (isPermitted && call.abortReason === undefined && this.#isStillWanted(placement.target.entry)) return { placement, release }
+        // The caller may have left while the request waited for its permit, the target may have left or asked for rest, and its zone may be evacuated.
+        if (isPermitted && call.abortReason === undefined && this.#isStillWanted(placement.target.entry)) return { placement: this.#withoutBarredCopy(placement), release }
         release()
         continue
       }
@@ -133,7 +136,14 @@
     }, triedTargets, now, ({ entry }) => this.#isAllowed(call, entry) && slots.hasRoom(entry))
     const isLastResort = placement !== undefined && placement.target.backoffUntil > now
     if (isLastResort && this.#fullTargets(call, triedTargets).some((target) => target.backoffUntil <= now)) return undefined
-    return placement?.copyFrom !== undefined && this.#isResting(placement.copyFrom.entry) ? { target: placement.target } : placement
+    return placement === undefined ? undefined : this.#withoutBarredCopy(placement)
+  }
+
+  /** Returns the placement without a copy from a target that wants no requests or is in an evacuated zone. */
+  #withoutBarredCopy (placement: decisions.placement.Placement): decisions.placement.Placement {
+    const { copyFrom, target } = placement
+    if (copyFrom === undefined) return placement
+    return this.#isResting(copyFrom.entry) || this.#options.board.isEvacuated(copyFrom.entry) ? { target } : placement
   }
 
   #isAllowed (call: calls.Call, entry: Entry): boolean {
@@ -146,10 +156,10 @@
     return board.assignableTargets(call.service).filter(({ entry }) => !triedTargets.has(entry.id) && !slots.hasRoom(entry) && this.#isAllowed(call, entry))
   }
 
-  /** Returns whether a target that was chosen before a wait is still registered, stays, and wants requests. */
+  /** Returns whether a target that was chosen before a wait is still registered, stays, is in no evacuated zone, and wants requests. */
   #isStillWanted (entry: Entry): boolean {
     const known = this.#options.board.get(entry.id)?.entry
-    return known !== undefined && !known.leaving && targetLifetime(known) === targetLifetime(entry) && !this.#isResting(entry)
+    return known !== undefined && !known.leaving && targetLifetime(known) === targetLifetime(entry) && !this.#options.board.isEvacuated(known) && !this.#isResting(entry)
   }
 
   /** Returns the time until a target may take the call, in milliseconds; undefined where neither limits nor rests are the reason that none does. */
@@ -164,8 +174,12 @@
   }
 
   async #wait (call: calls.Call, milliseconds: number): Promise<void> {
-    const stopWaiting = this.#options.permits.startWaiting(call.service, call.rank)
-    await this.#options.clock.sleep(Math.max(MINIMUM_WAIT_MS, milliseconds), call.abortController.signal)
+    const { board, clock, permits } = this.#options
+    const stopWaiting = permits.startWaiting(call.service, call.rank)
+    const end = clock.now() + Math.max(MINIMUM_WAIT_MS, milliseconds)
+    while (!call.abortController.signal.aborted && clock.now() < end && board.confiningZones(call.service).length === 0) {
+      await clock.sleep(Math.min(EVACUATION_CHECK_INTERVAL_MS, end - clock.now()), call.abortController.signal)
+    }
     stopWaiting()
   }
 
--- a/packages/routers/src/gateway-messages.ts
+++ b/packages/routers/src/gateway-messages.ts
@@ -63,6 +63,11 @@
   promptParts: decisions.promptPartBoard.PromptPartReport[]
   /** Limits that targets have named, as far as the sender knows. */
   targetLimits: decisions.targetLimits.TargetLimitReport[]
+  /** Evacuated zones as of `evacuationsRevision`. */
+  evacuatedZones: string[]
+  evacuationsRevision: number
+  /** Epoch of the store to which `evacuationsRevision` belongs; 0 if the sender knows nothing of evacuations. */
+  evacuationsEpoch: number
   /** Increases with each heartbeat of the incarnation, because datagrams may arrive out of order. */
   sequence: number
   /** Requests a heartbeat in return. */
