Call the store for evacuated zones less often

Its watches now wait 4 s instead of 2 s, and only gateways with the watch duty list the entries, or those that nobody has told of them within 3 s.

--- a/packages/decisions/src/target-board.ts
+++ b/packages/decisions/src/target-board.ts
@@ -142,6 +142,7 @@
 
   /** Returns the evacuated zones to which a service is confined; empty if it has a target elsewhere, or none at all. */
   confiningZones (service: string): string[] {
+    if (this.#evacuations.isEmpty) return []
     const targets = this.#stayingTargets(service)
     return targets.every((target) => this.isEvacuated(target.entry)) ? [...new Set(targets.map((target) => target.entry.availabilityZone))] : []
   }
--- a/packages/decisions/src/zone-evacuations.ts
+++ b/packages/decisions/src/zone-evacuations.ts
@@ -35,6 +35,10 @@
     return this.#version
   }
 
+  get isEmpty (): boolean {
+    return this.#zones.size === 0 && this.#doubtfulZones.size === 0
+  }
+
   /** Evacuated zones, also those in doubt. */
   get zones (): string[] {
     return [...this.#zones, ...this.#doubtfulZones]
--- a/packages/gateway/src/evacuation-watch.ts
+++ b/packages/gateway/src/evacuation-watch.ts
@@ -1,4 +1,4 @@
-import type * as decisions from '@acaciaweir/decisions'
+import * as decisions from '@acaciaweir/decisions'
 import type * as platform from '@acaciaweir/platform'
 import * as adapter from '@acaciaweir/platform-adapter'
 import * as watches from './object-watch.js'
@@ -6,6 +6,15 @@
 /** Time after which a zone is used again whose entry a store that came back from a backup lacks, in milliseconds. Operators write it again within it. */
 const DOUBT_MS = 5000
 
+/**
+ * Time for which the store holds a watch open without changes, in milliseconds. Longer than for other objects, since zones are seldom evacuated
+ * and calls cost; a silent connection is noticed within the time that platforms leave for an evacuation.
+ */
+const WAIT_MS = 4000
+
+/** Time after its start at which a gateway lists the entries itself if no other gateway has told it of them, in milliseconds. */
+const NEWS_TIME_MS = 3000
+
 /** Origin of an evacuation, as logged. */
 export const EvacuationSource = { store: 'store', gateway: 'gateway' } as const
 export type EvacuationSource = typeof EvacuationSource[keyof typeof EvacuationSource]
@@ -26,12 +35,14 @@
   readonly #announce: () => void
   /** False where operators don't evacuate zones. */
   readonly isEnabled: boolean
+  readonly #createdAt: number
   #isStopped = false
 
   constructor (options: EvacuationWatchOptions) {
-    super({ ...options, kind: adapter.objectKinds.ObjectKind.evacuations })
+    super({ ...options, waitMs: WAIT_MS, kind: adapter.objectKinds.ObjectKind.evacuations })
     this.#evacuations = options.evacuations
     this.#clock = options.clock
+    this.#createdAt = options.clock.now()
     this.#announce = options.announce
     this.isEnabled = options.isEnabled
   }
@@ -41,9 +52,9 @@
     return this.#evacuations.version
   }
 
-  /** Returns the evacuated zones to pass on; where they are too many, first those of `knownZones`. */
-  report (knownZones: ReadonlySet<string>): string[] {
-    return this.#evacuations.report((zone) => knownZones.has(zone))
+  /** Returns the evacuated zones to pass on; where they are too many, first those that are known to be zones. */
+  report (isKnownZone: (zone: string) => boolean): string[] {
+    return this.#evacuations.report(isKnownZone)
   }
 
   override start (): void {
@@ -55,32 +66,40 @@
     super.stop()
   }
 
-  /** Time since the last successful store call, in milliseconds; 0 where the store is not called. */
+  /**
+   * Time since the last successful store call, in milliseconds, less the time by which its watches last longer than those of other objects; 0
+   * where the store is not called.
+   */
   override silenceMs (): number {
-    return this.isEnabled ? super.silenceMs() : 0
+    return this.isEnabled ? Math.max(0, super.silenceMs() - (WAIT_MS - watches.DEFAULT_WAIT_MS)) : 0
   }
 
   /** Applies what another gateway knows, if that is newer. */
   applyFromPeer (zones: readonly string[], version: decisions.storeVersion.StoreVersion): void {
-    this.#apply(version.epoch, () => this.#evacuations.replace(zones, version), EvacuationSource.gateway)
+    this.#apply(() => this.#evacuations.replace(zones, version), EvacuationSource.gateway)
+  }
+
+  protected override isListNeeded (): boolean {
+    const isKnown = decisions.storeVersion.isNewer(this.version, decisions.storeVersion.NO_VERSION)
+    return !isKnown && this.#clock.now() - this.#createdAt > NEWS_TIME_MS
   }
 
   protected override applyList (objects: platform.objectStore.StoreObject[], revision: number): void {
     const version = { epoch: this.epoch, revision }
-    this.#apply(version.epoch, () => this.#evacuations.replace(objects.map((object) => object.name), version), EvacuationSource.store)
+    this.#apply(() => this.#evacuations.replace(objects.map((object) => object.name), version), EvacuationSource.store)
   }
 
   protected override applyEvents (events: platform.objectStore.ObjectEvent[], revision: number): void {
     const version = { epoch: this.epoch, revision }
     const changes = events.map(({ object, removed }) => ({ zone: object.name, removed }))
-    this.#apply(version.epoch, () => this.#evacuations.applyChanges(changes, version), EvacuationSource.store)
+    this.#apply(() => this.#evacuations.applyChanges(changes, version), EvacuationSource.store)
   }
 
-  #apply (epoch: number, apply: () => decisions.zoneEvacuations.EvacuationChange, source: EvacuationSource): void {
-    const previousEpoch = this.#evacuations.version.epoch
+  #apply (apply: () => decisions.zoneEvacuations.EvacuationChange, source: EvacuationSource): void {
+    const previousEpoch = this.version.epoch
     const change = apply()
     this.#report(change, source)
-    if (previousEpoch > 0 && this.#evacuations.version.epoch > previousEpoch) void this.#endDoubtLater(epoch)
+    if (previousEpoch > 0 && this.version.epoch > previousEpoch) void this.#endDoubtLater(this.version.epoch)
     if (source === EvacuationSource.store && change.evacuated.length + change.restored.length > 0) this.#announce()
   }
 
@@ -90,7 +109,7 @@
   }
 
   #report ({ evacuated, restored }: decisions.zoneEvacuations.EvacuationChange, source: EvacuationSource): void {
-    const { epoch, revision } = this.#evacuations.version
+    const { epoch, revision } = this.version
     for (const zone of evacuated) this.logger.warn({ event: 'zone-evacuated', zone, source, epoch, revision })
     for (const zone of restored) this.logger.info({ event: 'zone-restored', zone, source, epoch, revision })
   }
--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -105,7 +105,7 @@
       promptParts: promptParts.reports(clock.now()),
       targetLimits: targetLimits.reports(clock.now()),
       leavingTargets: board.entries().filter((entry) => entry.leaving).map((entry) => entry.id),
-      evacuatedZones: evacuations.report(new Set(board.entries().map((entry) => entry.availabilityZone))),
+      evacuatedZones: evacuations.report((zone) => board.entries().some((entry) => entry.availabilityZone === zone)),
       evacuationsRevision: evacuations.version.revision,
       evacuationsEpoch: evacuations.version.epoch
     }
--- a/packages/gateway/src/object-watch.ts
+++ b/packages/gateway/src/object-watch.ts
@@ -2,8 +2,8 @@
 import type * as platform from '@acaciaweir/platform'
 import type * as runtime from '@acaciaweir/runtime'
 
-/** Time for which the store holds a watch open without changes, in milliseconds. A silent connection is noticed after this time plus the store client's margin. */
-const WATCH_WAIT_MS = 2000
+/** Time for which the store holds a watch open without changes by default, in milliseconds. A silent connection is noticed after this time plus the store client's margin. */
+export const DEFAULT_WAIT_MS = 2000
 
 /** Delay before the next watch after one that returned changes, in milliseconds. Targets that register or leave together then cost one call instead of one each. */
 const EVENT_BATCH_DELAY_MS = 200
@@ -19,6 +19,8 @@
   store: platform.objectStore.ObjectStore
   clock: decisions.clock.Clock
   logger: runtime.logging.Logger
+  /** Time for which the store holds a watch open without changes, in milliseconds; `DEFAULT_WAIT_MS` by default. */
+  waitMs?: number
   /** Time until this gateway checks again whether it has to watch, in milliseconds, while other gateways watch on its behalf; 0 if it has to watch itself. */
   pauseMs: () => number
 }
@@ -29,6 +31,7 @@
  */
 export abstract class ObjectWatch {
   readonly #options: ObjectWatchOptions
+  readonly #waitMs: number
   readonly #abortController = new AbortController()
   #revision: number | undefined
   /** Epoch of the store to which the revision belongs. */
@@ -42,6 +45,7 @@
 
   constructor (options: ObjectWatchOptions) {
     this.#options = options
+    this.#waitMs = options.waitMs ?? DEFAULT_WAIT_MS
   }
 
   start (): void {
@@ -71,6 +75,11 @@
     return this.#options.logger
   }
 
+  /** Returns true if this gateway has to list the objects although others watch on its behalf. Asked before the first list and after the store's history is gone. */
+  protected isListNeeded (): boolean {
+    return true
+  }
+
   /** Applies a complete list of the objects. `afterOutage` is true if calls failed just before and had succeeded earlier, or the store came back from a backup. */
   protected abstract applyList (objects: platform.objectStore.StoreObject[], revision: number, afterOutage: boolean): void
   /** Applies changes in the order of the store. */
@@ -103,10 +112,10 @@
    * store has dropped that history.
    */
   async #waitForWatchDuty (): Promise<void> {
-    if (this.#revision === undefined) return
+    if (this.#revision === undefined && this.isListNeeded()) return
     for (let pauseMs = this.#options.pauseMs(); pauseMs > 0; pauseMs = this.#options.pauseMs()) {
       await this.#options.clock.sleep(pauseMs, this.#abortController.signal)
-      if (this.#abortController.signal.aborted) return
+      if (this.#abortController.signal.aborted || (this.#revision === undefined && this.isListNeeded())) return
     }
   }
 
@@ -123,7 +132,7 @@
   }
 
   async #watch (revision: number): Promise<platform.objectStore.StoreFailure | undefined> {
-    const outcome = await this.#options.store.watch(this.#options.kind, revision, WATCH_WAIT_MS)
+    const outcome = await this.#options.store.watch(this.#options.kind, revision, this.#waitMs)
     if (outcome.status !== 'done') return outcome
     // The events follow a revision of another history.
     if (this.#epoch !== this.#options.store.epoch) return undefined
--- a/packages/gateway/test/heartbeat-socket.test.ts
+++ b/packages/gateway/test/heartbeat-socket.test.ts
@@ -39,6 +39,13 @@
     expect(heard[0]).to.deep.equal(heartbeat(address))
   })
 
+  it('receives a heartbeat of an earlier version as one that knows nothing of evacuated zones', async () => {
+    const { evacuatedZones, evacuationsRevision, evacuationsEpoch, ...earlier } = heartbeat(address)
+    socket.send(earlier as routers.gatewayMessages.GatewayHeartbeat, [address])
+    await fleets.eventually(() => heard.length === 1)
+    expect(heard[0]).to.deep.equal({ ...earlier, evacuatedZones: [], evacuationsRevision: 0, evacuationsEpoch: 0 })
+  })
+
   const strayDatagrams: Array<{ name: string, datagram: Buffer }> = [
     { name: 'an empty datagram', datagram: Buffer.alloc(0) },
     { name: 'text', datagram: Buffer.from('hello, is this a resolver?') },
