Tests: one scene for the choice of targets, with and without evacuations

Trials on a scratch copy, one guard taken out at a time: without the look at the zone after a permit 3 of 14 fail, without the one in the wait 1, without the one at the copy 1. 14 pass with all of them.

--- a/packages/gateway/test/target-chooser.test.ts
+++ b/packages/gateway/test/target-chooser.test.ts
@@ -1,4 +1,5 @@
-// Guards against a request that is sent to a target which asked for rest while the request waited for a permit, or whose caller left meanwhile.
+// Guards against a request that is sent to a target which asked for rest, or whose zone was evacuated, while the request waited, or whose caller
+// left meanwhile; against a copy of a cache from an evacuated zone; and against a request that waits on although no other zone has the service.
 import * as decisions from '@acaciaweir/decisions'
 import type * as adapter from '@acaciaweir/platform-adapter'
 import * as runtime from '@acaciaweir/runtime'
@@ -13,6 +14,54 @@
 
 const PERMIT_MS = 50
 
+/** A chooser in zone-a whose permits take `PERMIT_MS`. Each target has the named zone, or zone-a, and takes one connection. */
+class Scene {
+  readonly clock = new virtualClocks.VirtualClock()
+  readonly evacuations = new decisions.zoneEvacuations.ZoneEvacuations()
+  readonly board = new decisions.targetBoard.TargetBoard(this.evacuations)
+  readonly slots = new connectionSlots.ConnectionSlots(() => 1)
+  readonly entries: decisions.agreementTypes.TargetEntry[]
+  readonly chooser: targetChoosers.TargetChooser
+  readonly call = { service: 'engines', sends: [], route: { name: 'plan' }, deadlineAt: Infinity, rank: 0, request: { promptParts: [], promptTokens: 0 }, abortController: new AbortController() } as unknown as calls.Call
+
+  constructor (targets: string[], zones: Record<string, string> = {}) {
+    this.entries = targets.map((id) => ({ id, service: 'engines', address: `10.0.0.1:${id.charCodeAt(0)}`, availabilityZone: zones[id] ?? 'zone-a', slots: 4, leaving: false }))
+    this.board.replaceEntries(this.entries)
+    const permits = {
+      maximumWaitMs: () => 1000,
+      mayAsk: () => true,
+      acquire: async () => {
+        await this.clock.sleep(PERMIT_MS)
+        return true
+      },
+      expectedWaitMs: () => undefined,
+      startWaiting: () => () => {}
+    } as unknown as targetPermits.TargetPermits
+    this.chooser = new targetChoosers.TargetChooser({
+      clock: this.clock,
+      board: this.board,
+      permits,
+      slots: this.slots,
+      leavingAdmission: new decisions.leavingAdmission.LeavingAdmission(),
+      logger: runtime.logging.createLogger('silent'),
+      targetLimits: new decisions.targetLimits.TargetLimits(() => {}),
+      targetRests: new decisions.targetRests.TargetRests(),
+      availabilityZone: 'zone-a',
+      announce: () => {}
+    })
+  }
+
+  /** Lets targets say that they want nothing for a while. */
+  rest (targets: string[], restMs: number): void {
+    const answer = { belongsToAttempt: true, isLeaving: false, restMs, limitPerSecond: undefined } as unknown as adapter.targetRequest.TargetResponse
+    for (const entry of this.entries.filter(({ id }) => targets.includes(id))) this.chooser.recordAnswer(this.call, entry, answer, this.clock.now())
+  }
+
+  evacuate (zones: string[]): void {
+    this.evacuations.replace(zones, { epoch: 1, revision: this.evacuations.version.revision + 1 })
+  }
+}
+
 describe('TargetChooser', () => {
   const cases: Array<{ name: string, targets: string[], resting: string[], hasCallerLeft?: boolean, chosen: string | undefined }> = [
     { name: 'sends to the target for which a permit came', targets: ['a'], resting: [], chosen: 'a' },
@@ -22,40 +71,57 @@
   ]
   for (const { name, targets, resting, hasCallerLeft, chosen } of cases) {
     it(name, async () => {
-      const clock = new virtualClocks.VirtualClock()
-      const board = new decisions.targetBoard.TargetBoard()
-      const entries = targets.map((id) => ({ id, service: 'engines', address: `10.0.0.1:${id.charCodeAt(0)}`, availabilityZone: 'zone-a', slots: 4, leaving: false }))
-      board.replaceEntries(entries)
-      const permits = {
-        maximumWaitMs: () => 1000,
-        mayAsk: () => true,
-        acquire: async () => {
-          await clock.sleep(PERMIT_MS)
-          return true
-        },
-        expectedWaitMs: () => undefined,
-        startWaiting: () => () => {}
-      } as unknown as targetPermits.TargetPermits
-      const chooser = new targetChoosers.TargetChooser({
-        clock,
-        board,
-        permits,
-        slots: new connectionSlots.ConnectionSlots(() => Infinity),
-        leavingAdmission: new decisions.leavingAdmission.LeavingAdmission(),
-        logger: runtime.logging.createLogger('silent'),
-        targetLimits: new decisions.targetLimits.TargetLimits(() => {}),
-        targetRests: new decisions.targetRests.TargetRests(),
-        availabilityZone: 'zone-a',
-        announce: () => {}
-      })
-      const call = { service: 'engines', sends: [], route: { name: 'plan' }, deadlineAt: Infinity, rank: 0, request: { promptParts: [], promptTokens: 0 }, abortController: new AbortController() } as unknown as calls.Call
-      const placement = chooser.place(call, new Set())
-      await clock.runUntil(PERMIT_MS / 2)
-      const answer = { belongsToAttempt: true, isLeaving: false, restMs: 5000, limitPerSecond: undefined } as unknown as adapter.targetRequest.TargetResponse
-      for (const entry of entries.filter(({ id }) => resting.includes(id))) chooser.recordAnswer(call, entry, answer, clock.now())
-      if (hasCallerLeft === true) call.abortReason = 'caller'
-      await clock.runUntil(PERMIT_MS * 4)
+      const scene = new Scene(targets)
+      const placement = scene.chooser.place(scene.call, new Set())
+      await scene.clock.runUntil(PERMIT_MS / 2)
+      scene.rest(resting, 5000)
+      if (hasCallerLeft === true) scene.call.abortReason = 'caller'
+      await scene.clock.runUntil(PERMIT_MS * 4)
       expect((await placement)?.placement.target.entry.id).to.equal(chosen)
     })
   }
+
+  const both = { a: 'zone-a', b: 'zone-b' }
+  const evacuations: Array<{ waitsFor: 'a permit' | 'a connection' | 'a target that rests', evacuated: string[], isSecondSend?: boolean, chosen: string | undefined, withinMs?: number }> = [
+    { waitsFor: 'a permit', evacuated: ['zone-a'], chosen: 'b', withinMs: 2 * PERMIT_MS },
+    { waitsFor: 'a permit', evacuated: ['zone-b'], chosen: 'a', withinMs: PERMIT_MS },
+    { waitsFor: 'a permit', evacuated: ['zone-a', 'zone-b'], chosen: undefined, withinMs: PERMIT_MS },
+    { waitsFor: 'a permit', evacuated: ['zone-a'], isSecondSend: true, chosen: undefined, withinMs: PERMIT_MS },
+    { waitsFor: 'a connection', evacuated: ['zone-a'], chosen: 'b' },
+    { waitsFor: 'a connection', evacuated: ['zone-a', 'zone-b'], chosen: undefined },
+    { waitsFor: 'a target that rests', evacuated: ['zone-a'], chosen: 'b', withinMs: 1000 },
+    { waitsFor: 'a target that rests', evacuated: ['zone-a', 'zone-b'], chosen: undefined, withinMs: 150 }
+  ]
+  for (const { waitsFor, evacuated, isSecondSend = false, chosen, withinMs } of evacuations) {
+    it(`sends ${isSecondSend ? 'a second time ' : ''}to ${chosen ?? 'none'} if ${evacuated.join(' and ')} of zone-a and zone-b is evacuated while the request waits for ${waitsFor}`, async () => {
+      const scene = new Scene(['a', 'b'], both)
+      const releases = waitsFor === 'a connection' ? scene.entries.map((entry) => scene.slots.take(entry)) : []
+      if (waitsFor === 'a target that rests') scene.rest(['a', 'b'], 900)
+      let endedAt = Infinity
+      const placing = scene.chooser[isSecondSend ? 'placeAtOnce' : 'place'](scene.call, new Set()).finally(() => { endedAt = scene.clock.now() })
+      await scene.clock.runUntil(PERMIT_MS / 2)
+      scene.evacuate(evacuated)
+      await scene.clock.runUntil(500)
+      // The place in the queue waits by the clock of the process.
+      for (const release of releases) release()
+      if (releases.length > 0) await new Promise<void>((resolve) => { setTimeout(resolve, 120) })
+      await scene.clock.runUntil(2000)
+      expect((await placing)?.placement.target.entry.id).to.equal(chosen)
+      expect(endedAt).to.be.at.most(withinMs ?? Infinity)
+    })
+  }
+
+  for (const evacuated of [[], ['zone-b']]) {
+    it(`copies a cache from ${evacuated.length === 0 ? 'another zone' : 'no zone that is evacuated while the request waits for its permit'}`, async () => {
+      const scene = new Scene(['a', 'b'], both)
+      Object.assign(scene.call.request, { promptParts: [{ id: 'shared', tokens: 20_000 }, { id: 'own', tokens: 10 }], promptTokens: 20_010 })
+      for (let count = 0; count < 9; count++) scene.board.recordStart('b', 20_000, ['shared'], 0)
+      const placing = scene.chooser.place(scene.call, new Set())
+      await scene.clock.runUntil(PERMIT_MS / 2)
+      scene.evacuate(evacuated)
+      await scene.clock.runUntil(PERMIT_MS * 4)
+      const { target, copyFrom } = (await placing)?.placement ?? {}
+      expect([target?.entry.id, copyFrom?.entry.id]).to.deep.equal(['a', evacuated.length === 0 ? 'b' : undefined])
+    })
+  }
 })
