Watch evacuated zones for no longer than their bound allows

The wait now follows the bound, less one second, and is four seconds at most, as before with a bound of five.

--- a/packages/gateway/src/evacuation-watch.ts
+++ b/packages/gateway/src/evacuation-watch.ts
@@ -7,10 +7,12 @@
 const DOUBT_MS = 5000
 
 /**
- * Time for which the store holds a watch open without changes, in milliseconds. Longer than for other objects, since zones are seldom evacuated
- * and calls cost; a silent connection is noticed within the time that platforms leave for an evacuation.
+ * Time for which the store holds a watch open without changes, in milliseconds: as long as the bound allows, since zones are seldom evacuated and
+ * calls cost. The reserve is for noticing that the connection is silent or the store has another history, for a list, and for telling the others.
  */
-const WAIT_MS = 4000
+const MAXIMUM_WAIT_MS = 4000
+const MINIMUM_WAIT_MS = 500
+const RESERVE_MS = 1000
 
 /** Time after its start at which a gateway lists the entries itself if no other gateway has told it of them, in milliseconds. */
 const NEWS_TIME_MS = 3000
@@ -22,8 +24,8 @@
 /** Dependencies and settings of the watch. */
 export interface EvacuationWatchOptions extends Omit<watches.ObjectWatchOptions, 'kind'> {
   evacuations: decisions.zoneEvacuations.ZoneEvacuations
-  /** False where operators don't evacuate zones; the store is not called then. */
-  isEnabled: boolean
+  /** Time within which an evacuation has to take effect, in milliseconds; undefined where operators don't evacuate zones, and the store is not called. */
+  evacuateMs: number | undefined
   /** Sends a heartbeat with a change to the other gateways. */
   announce: () => void
 }
@@ -36,15 +38,18 @@
   /** False where operators don't evacuate zones. */
   readonly isEnabled: boolean
   readonly #createdAt: number
+  readonly #waitMs: number
   #isStopped = false
 
   constructor (options: EvacuationWatchOptions) {
-    super({ ...options, waitMs: WAIT_MS, kind: adapter.objectKinds.ObjectKind.evacuations })
+    const waitMs = Math.max(MINIMUM_WAIT_MS, Math.min(MAXIMUM_WAIT_MS, (options.evacuateMs ?? Infinity) - RESERVE_MS))
+    super({ ...options, waitMs, kind: adapter.objectKinds.ObjectKind.evacuations })
+    this.#waitMs = waitMs
     this.#evacuations = options.evacuations
     this.#clock = options.clock
     this.#createdAt = options.clock.now()
     this.#announce = options.announce
-    this.isEnabled = options.isEnabled
+    this.isEnabled = options.evacuateMs !== undefined
   }
 
   /** Version of the store up to which this gateway knows the evacuations, from the store or from another gateway. */
@@ -71,7 +76,7 @@
    * where the store is not called.
    */
   override silenceMs (): number {
-    return this.isEnabled ? Math.max(0, super.silenceMs() - (WAIT_MS - watches.DEFAULT_WAIT_MS)) : 0
+    return this.isEnabled ? Math.max(0, super.silenceMs() - Math.max(0, this.#waitMs - watches.DEFAULT_WAIT_MS)) : 0
   }
 
   /** Applies what another gateway knows, if that is newer. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -133,7 +133,7 @@
     this.#evacuationWatch = new evacuationWatches.EvacuationWatch({
       ...watchOptions,
       evacuations: this.#evacuations,
-      isEnabled: options.settings.evacuateMs !== undefined,
+      evacuateMs: options.settings.evacuateMs,
       announce: () => { void this.#peerTask.announceSoon() }
     })
     this.#tokenPages = new tokenPageClients.TokenPageClient({
--- a/packages/gateway/test/evacuated-zones.test.ts
+++ b/packages/gateway/test/evacuated-zones.test.ts
@@ -120,6 +120,22 @@
     expect(arrivalsIn(fleet, 'zone-b', since)).to.equal(0)
   })
 
+  it('gets none after the bound where a restored store gives out a known revision for the entry', async () => {
+    fleet = await startFleet(2, EVACUATE_MS)
+    const backup = fleet.store.backUp()
+    for (let count = 0; count < 5; count++) fleet.store.putObject('servers', 'unreadable', { count })
+    await pause(600)
+    fleet.store.fault = StoreFault.busy
+    await pause(3000)
+    fleet.store.restore(backup)
+    evacuate(fleet, 'zone-b')
+    for (let count = 0; count < 9; count++) fleet.store.putObject('servers', 'unreadable', { again: count })
+    fleet.store.fault = StoreFault.none
+    const since = performance.now() + EVACUATE_MS
+    await load(fleet, EVACUATE_MS + 1000)
+    expect(arrivalsIn(fleet, 'zone-b', since)).to.equal(0)
+  })
+
   it('is used again when the store comes back from a backup without the entry, which is not written again', async () => {
     fleet = await startFleet(2, EVACUATE_MS)
     const backup = fleet.store.backUp()
--- a/packages/gateway/test/evacuation-watch.test.ts
+++ b/packages/gateway/test/evacuation-watch.test.ts
@@ -48,25 +48,26 @@
   announcements: () => number
 }
 
-function createScene (hasDuty: boolean, isEnabled = true): Scene {
+function createScene (hasDuty: boolean, { evacuateMs }: { evacuateMs: number | undefined } = { evacuateMs: 5000 }): Scene {
   const clock = new virtualClocks.VirtualClock()
   const store = new RecordingStore(clock)
   const evacuations = new decisions.zoneEvacuations.ZoneEvacuations()
   let announcements = 0
-  const watch = new evacuationWatches.EvacuationWatch({ store, clock, evacuations, isEnabled, logger: runtime.logging.createLogger('silent'), pauseMs: () => hasDuty ? 0 : 300, announce: () => { announcements += 1 } })
+  const watch = new evacuationWatches.EvacuationWatch({ store, clock, evacuations, evacuateMs, logger: runtime.logging.createLogger('silent'), pauseMs: () => hasDuty ? 0 : 300, announce: () => { announcements += 1 } })
   return { clock, store, evacuations, watch, announcements: () => announcements }
 }
 
 describe('the watch of evacuated zones', () => {
-  const cases: Array<{ name: string, hasDuty: boolean, isEnabled?: boolean, isTold?: boolean, calls: string[], evacuated: string[] }> = [
+  const cases: Array<{ name: string, hasDuty: boolean, bound?: { evacuateMs: number | undefined }, isTold?: boolean, calls: string[], evacuated: string[] }> = [
     { name: 'lists and watches where this gateway has the duty', hasDuty: true, calls: ['0 list', '0 watch', '4000 watch', '8000 watch'], evacuated: ['zone-b'] },
     { name: 'calls nothing where another gateway has told this one', hasDuty: false, isTold: true, calls: [], evacuated: ['zone-c'] },
     { name: 'lists once where no gateway tells this one', hasDuty: false, calls: ['3300 list'], evacuated: ['zone-b'] },
-    { name: 'calls nothing where operators evacuate no zones', hasDuty: true, isEnabled: false, calls: [], evacuated: [] }
+    { name: 'watches for as long as a short bound allows', hasDuty: true, bound: { evacuateMs: 4000 }, calls: ['0 list', '0 watch', '3000 watch', '6000 watch', '9000 watch'], evacuated: ['zone-b'] },
+    { name: 'calls nothing where operators evacuate no zones', hasDuty: true, bound: { evacuateMs: undefined }, calls: [], evacuated: [] }
   ]
-  for (const { name, hasDuty, isEnabled, isTold = false, calls, evacuated } of cases) {
+  for (const { name, hasDuty, bound, isTold = false, calls, evacuated } of cases) {
     it(name, async () => {
-      const { clock, evacuations, store, watch } = createScene(hasDuty, isEnabled)
+      const { clock, evacuations, store, watch } = createScene(hasDuty, bound)
       watch.start()
       await clock.runUntil(200)
       if (isTold) watch.applyFromPeer(['zone-c'], { epoch: 1, revision: 5 })
