--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -9,6 +9,7 @@
   livePeers: () => number
   heldPromptParts: () => number
   limitedTargets: () => number
+  evacuatedZones: () => number
   freeTokens: () => Record<string, number>
   targetRequests: () => Record<string, number>
   targetRoom: () => Record<string, number>
@@ -42,6 +43,7 @@
     this.#server.addLabelledGauge('acaciaweir_target_requests', 'Requests in flight at a target from all gateways, as estimated', 'target', source.targetRequests)
     this.#server.addLabelledGauge('acaciaweir_target_room', 'Free slots of a target, as estimated; negative if requests queue there', 'target', source.targetRoom)
     this.#server.addGauge('acaciaweir_limited_targets', 'Targets that name a limit', source.limitedTargets)
+    this.#server.addGauge('acaciaweir_evacuated_zones', 'Zones that an operator has evacuated', source.evacuatedZones)
     this.#server.addGauge('acaciaweir_requests_in_progress', 'Requests in progress', source.requestsInProgress)
     this.#server.addGauge('acaciaweir_agreement_version', 'Version of the agreement in force', source.agreementVersion)
     this.#server.addGauge('acaciaweir_live_peers', 'Other gateways heard lately', source.livePeers)
