Take preferred targets out, learn service times from served requests only, and drop gauges of targets that are gone

Refused, hung and cut sends taught the service's times, so a target that fails quickly looked fast. Gauges by target kept the last value of each target that ever was (red: a metrics-server test).

--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -20,12 +20,6 @@
 /** Cost of crossing availability zones; keeps traffic local between otherwise equal targets. Unit: prompt tokens. */
 const CROSS_ZONE_COST_TOKENS = 1200
 
-/**
- * Cost of a target that other routers prefer: prompts are being read there of which this router has not heard. Unit: prompt tokens.
- * Lower than the cost of reading a long shared prompt again, so that cached prompts are used where they are, and routers lend each other their targets.
- */
-const PREFERRED_BY_OTHERS_COST_TOKENS = 3000
-
 /** Cost of a target whose recent work all failed. Unit: prompt tokens. */
 const FAILURE_COST_TOKENS = 60_000
 
@@ -61,8 +55,8 @@
 /** Returns true if a request may go to a target at present. */
 export type TargetFilter = (target: boards.TargetState) => boolean
 
-/** Why a target was chosen: its cached prompt parts, its place among the router's preferred targets, or its room although others prefer it. */
-export const PlacementReason = { cached: 'cached', preferred: 'preferred', lent: 'lent' } as const
+/** Why a target was chosen: its cached prompt parts, or its room. */
+export const PlacementReason = { cached: 'cached', room: 'room' } as const
 export type PlacementReason = typeof PlacementReason[keyof typeof PlacementReason]
 
 /** The target chosen for a request and, optionally, another target from whose cache it copies shared prompt parts. */
@@ -101,8 +95,7 @@
   if (target === undefined) return undefined
   const ownCachedTokens = cachedTokens.get(target) ?? 0
   const savedTokens = copySource === undefined ? 0 : (cachedTokens.get(copySource) ?? 0) - ownCachedTokens
-  const unreadReason = target.isPreferred ? PlacementReason.preferred : PlacementReason.lent
-  return { target, reason: ownCachedTokens > 0 ? PlacementReason.cached : unreadReason, copyFrom: savedTokens >= MINIMUM_COPIED_TOKENS && copySource !== target ? copySource : undefined }
+  return { target, reason: ownCachedTokens > 0 ? PlacementReason.cached : PlacementReason.room, copyFrom: savedTokens >= MINIMUM_COPIED_TOKENS && copySource !== target ? copySource : undefined }
 }
 
 /** Returns the number of requests in flight at a target from all routers, as far as this router knows. */
@@ -132,8 +125,7 @@
   if (request.promptTokens === 0) return baseCost + running / entry.slots * FULL_PLAIN_TARGET_COST_TOKENS
   const unreadTokens = target.ownWork.unreadTokens + target.otherRoutersWork.unreadTokens
   const savedByCopy = Math.max(0, copyableTokens - cachedTokens) * (1 - COPY_COST_SHARE)
-  const othersCost = target.isPreferred ? 0 : PREFERRED_BY_OTHERS_COST_TOKENS
-  return baseCost + othersCost + running / entry.slots * FULL_TARGET_COST_TOKENS + unreadTokens + request.promptTokens - cachedTokens - savedByCopy
+  return baseCost + running / entry.slots * FULL_TARGET_COST_TOKENS + unreadTokens + request.promptTokens - cachedTokens - savedByCopy
 }
 
 /** Returns the item with the highest measure, of equal ones the first that no other is preferred to; undefined for an empty list. */
--- a/packages/decisions/src/target-board.ts
+++ b/packages/decisions/src/target-board.ts
@@ -42,8 +42,6 @@
   ownWork: WorkInFlight
   /** Work sent by the other routers, as estimated from their last heartbeats. */
   otherRoutersWork: workEstimate.EstimatedWork
-  /** It is preferred by this router, or its service has no preferred targets. */
-  isPreferred: boolean
   /** Decaying failure score of recent work, from 0 to 1. */
   failureRatio: number
   /** Monotonic time, in milliseconds, until which requests prefer other targets. */
@@ -95,7 +93,6 @@
       entry: { ...entry, leaving: entry.leaving || this.#leavingRuns.has(types.targetRunAtAddress(entry)) },
       ownWork: { requests: 0, unreadTokens: 0 },
       otherRoutersWork: { ...NO_OTHER_WORK },
-      isPreferred: true,
       failureRatio: 0,
       backoffUntil: 0,
       lastStartedAt: -Infinity,
@@ -184,13 +181,6 @@
     this.setOtherRoutersWork(workEstimate.estimateWork(reports, serviceOfTarget, (service) => this.#serviceTimes.lifetimes(service)))
   }
 
-  /** Sets the targets that this router prefers. Where it prefers none of a service, all are equal. */
-  setPreferredTargets (ids: ReadonlySet<string>): void {
-    const targets = [...this.#targets.values()]
-    const services = new Set(targets.filter(({ entry }) => ids.has(entry.id)).map(({ entry }) => entry.service))
-    for (const target of targets) target.isPreferred = ids.has(target.entry.id) || !services.has(target.entry.service)
-  }
-
   /** Records the times until the first event and until the end of a request to a service, by which reports of other routers age. */
   recordTimes (service: string, readingMs: number, totalMs: number): void {
     this.#serviceTimes.record(service, readingMs, totalMs)
--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -133,15 +133,12 @@
     if (heartbeat.agreementVersion > configuration.version || needsTargets) this.#options.fetchState(heartbeat.sender.peerAddress)
   }
 
-  /** Estimates the other gateways' requests in flight anew, as their heartbeats age, and the targets that this one prefers. */
+  /** Estimates the other gateways' requests in flight anew, as their heartbeats age. */
   #estimateWork (now: number): void {
-    const { board, member, peers } = this.#options
+    const { board, peers } = this.#options
     if (now - this.#workEstimatedAt < WORK_ESTIMATE_INTERVAL_MS) return
     this.#workEstimatedAt = now
     board.estimateOtherRoutersWork(peers.workReports(now))
-    const others = peers.servingGateways(now).map(({ host, availabilityZone }) => ({ name: host, availabilityZone }))
-    const { host, availabilityZone } = member()
-    board.setPreferredTargets(decisions.preferredTargets.preferredTargets({ name: host, availabilityZone }, others, board.entries()))
   }
 
   #confirmKnowledge (heartbeat: routers.gatewayMessages.GatewayHeartbeat, now: number): void {
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -285,7 +285,7 @@
     const ended = await this.#sendAndReceive(call, placement, onPromptRead, span, race, send)
     const outcome: SendOutcome = send.isOvertaken && ended.kind !== 'not-run' ? { kind: 'overtaken' } : ended
     onPromptRead()
-    board.recordTimes(target.service, (readAt ?? clock.now()) - startedAt, clock.now() - startedAt)
+    if (outcome.kind === 'answered' && isSuccess(outcome.status)) board.recordTimes(target.service, (readAt ?? clock.now()) - startedAt, clock.now() - startedAt)
     board.recordEnd(target.id, send.isOvertaken ? TargetResult.undecided : targetResultOf(call, outcome), clock.now())
     this.#recordPromptParts(call, target.id, outcome)
     span.end()
--- a/packages/runtime/src/metrics-server.ts
+++ b/packages/runtime/src/metrics-server.ts
@@ -21,7 +21,11 @@
       help,
       labelNames: [label],
       registers: [this.registry],
-      collect: () => { for (const [labelValue, value] of Object.entries(read())) gauge.set({ [label]: labelValue }, value) }
+      collect: () => {
+        // A value whose label is gone would be exported for ever.
+        gauge.reset()
+        for (const [labelValue, value] of Object.entries(read())) gauge.set({ [label]: labelValue }, value)
+      }
     })
   }
 
