Let a gateway that reaches the store write the token page

The page writer was chosen by name alone. Cut off from the store, it wrote nothing for its gateways, and the holders that asked it waited up to two seconds before they tried themselves, mostly cut off too. Gateways now judge by their store calls whether they reach the store, tell it in heartbeats, and who draws asks those that reach it; a failed writer is passed over within the wait of the request.

--- a/packages/decisions/src/token-holders.ts
+++ b/packages/decisions/src/token-holders.ts
@@ -1,4 +1,5 @@
 import * as hashing from './hashing.js'
+import * as storeReach from './store-reach.js'
 
 /** Routers of a large fleet that draw tokens from the page. Conflicts between their updates stay rare however large the fleet is. */
 export const MAXIMUM_DRAWING_ROUTERS = 12
@@ -62,10 +63,25 @@
   return ranked.sort((left, right) => left.rank - right.rank).slice(0, MAXIMUM_DRAWING_ROUTERS).map(({ name }) => name)
 }
 
+/** A router that can be asked to write the page. */
+export interface PageWriterCandidate {
+  name: string
+  reach: storeReach.ReachState
+}
+
+const { ReachState } = storeReach
+
+/** Order in which routers are asked to write the page while some are cut off from the store, by what they tell of it. */
+const PREFERENCE: Record<storeReach.ReachState, number> = { [ReachState.reached]: 0, [ReachState.regained]: 1, [ReachState.unknown]: 2, [ReachState.cutOff]: 3 }
+
 /**
- * Selects the router that writes the page on behalf of all that draw. A writer that alternates with others knows an outdated revision
- * at nearly every write; a single one knows the newest, and covers the draws of several holders with one write.
+ * Orders the routers in which to ask them to write the page on behalf of all that draw. A writer that alternates with others knows an outdated
+ * revision at nearly every write; a single one knows the newest, and covers the draws of several holders with one write. The usual one comes first unless it is cut off from the store, or it is not
+ * known to reach it while others are cut off.
  */
-export function selectPageWriter (drawingRouters: readonly string[]): string {
-  return hashing.rendezvousOrder(drawingRouters, PAGE_KEY, (name) => name)[0]
+export function orderPageWriters (routers: readonly PageWriterCandidate[], drawingRouters: readonly string[]): string[] {
+  const drawing = new Set(drawingRouters)
+  const isStoreInDoubt = routers.some(({ reach }) => reach === ReachState.cutOff)
+  const rank = ({ name, reach }: PageWriterCandidate): number => (isStoreInDoubt ? 2 * PREFERENCE[reach] : 0) + (drawing.has(name) ? 0 : 1)
+  return hashing.rendezvousOrder(routers, PAGE_KEY, ({ name }) => name).sort((left, right) => rank(left) - rank(right)).map(({ name }) => name)
 }
--- a/packages/gateway/src/fleet-view.ts
+++ b/packages/gateway/src/fleet-view.ts
@@ -11,6 +11,8 @@
   selectedAt: number
   /** Gateways that draw tokens. */
   drawingGateways: string[]
+  /** Gateways in the order in which they are asked to write the token page. */
+  pageWriters: string[]
   heartbeats: Map<string, routers.gatewayMessages.GatewayHeartbeat>
   holders: Map<string, tokenTypes.AccountHolders>
   /** Position of this gateway in the order of those that watch the store; undefined before it is asked for. */
@@ -22,15 +24,17 @@
   readonly #self: decisions.tokenHolders.HolderCandidate
   readonly #peers: peerTables.PeerTable
   readonly #clock: decisions.clock.Clock
+  readonly #storeReach: decisions.storeReach.StoreReach
   readonly #startedAt: number
   readonly #watchDuty = new decisions.watchDuty.WatchDuty()
   #largeFleet: LargeFleet | undefined
   #hasKnownFleet = false
 
-  constructor (self: decisions.tokenHolders.HolderCandidate, peers: peerTables.PeerTable, clock: decisions.clock.Clock) {
+  constructor (self: decisions.tokenHolders.HolderCandidate, peers: peerTables.PeerTable, clock: decisions.clock.Clock, storeReach: decisions.storeReach.StoreReach) {
     this.#self = self
     this.#peers = peers
     this.#clock = clock
+    this.#storeReach = storeReach
     this.#startedAt = clock.now()
   }
 
@@ -109,10 +113,15 @@
     return { role: decisions.tokenHolders.TokenRole.peer, otherHolders }
   }
 
-  /** Returns the peer address of the gateway that writes the token page for all; undefined if that is this one, or every gateway of a small fleet. */
-  pageWriter (): string | undefined {
+  /**
+   * Returns the peer address of the gateway that writes the token page for all; undefined if that is this one, or every gateway of a small fleet.
+   * Gateways at the addresses in `failed` did not write it lately, and are left out as long as there are others.
+   */
+  pageWriter (failed: ReadonlySet<string>): string | undefined {
     const fleet = this.#currentLargeFleet()
-    return fleet === undefined ? undefined : fleet.heartbeats.get(decisions.tokenHolders.selectPageWriter(fleet.drawingGateways))?.sender.peerAddress
+    if (fleet === undefined) return undefined
+    const address = (name: string): string | undefined => fleet.heartbeats.get(name)?.sender.peerAddress
+    return address(fleet.pageWriters.find((name) => !failed.has(address(name) ?? '')) ?? fleet.pageWriters[0])
   }
 
   /** Returns the fleet as of a moment ago if it is large; undefined if it is small. */
@@ -126,9 +135,12 @@
 
   #viewLargeFleet (others: routers.gatewayMessages.GatewayHeartbeat[], now: number): LargeFleet {
     const candidates = others.map(({ sender }) => ({ name: sender.host, availabilityZone: sender.availabilityZone, processorShare: sender.processorShare }))
+    const drawingGateways = decisions.tokenHolders.selectDrawingRouters([this.#self, ...candidates])
+    const reaches = others.map(({ sender }) => ({ name: sender.host, reach: decisions.storeReach.toReachState(sender.storeReach) }))
     return {
       selectedAt: now,
-      drawingGateways: decisions.tokenHolders.selectDrawingRouters([this.#self, ...candidates]),
+      drawingGateways,
+      pageWriters: decisions.tokenHolders.orderPageWriters([{ name: this.#self.name, reach: this.#storeReach.state(now) }, ...reaches], drawingGateways),
       heartbeats: new Map(others.map((heartbeat) => [heartbeat.sender.host, heartbeat])),
       holders: new Map(),
       watchRank: undefined
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -84,6 +84,7 @@
   readonly #retryAllowance: decisions.retryAllowance.RetryAllowance
   readonly #targetConnections = new targetConnections.TargetConnections()
   readonly #peerTable: peerTables.PeerTable
+  readonly #storeReach = new decisions.storeReach.StoreReach()
   readonly #fleetView: fleetViews.FleetView
   readonly #configurationWatch: configurations.ConfigurationWatch
   readonly #targetWatch: targetWatches.TargetWatch
@@ -112,8 +113,9 @@
       onReleased: (part) => { this.#logger.info({ event: 'prompt-part-released', part }) }
     })
     this.#targetLimits = new decisions.targetLimits.TargetLimits((target, perSecond) => { this.#logger.info({ event: perSecond === undefined ? 'target-limit-ended' : 'target-limit', target, perSecond }) })
+    this.#store.onCallEnd((status) => { this.#recordStoreCall(status) })
     this.#peerTable = new peerTables.PeerTable(options.settings.peerListen)
-    this.#fleetView = new fleetViews.FleetView({ name: options.settings.host, availabilityZone: options.settings.availabilityZone, processorShare: options.settings.processorShare }, this.#peerTable, this.#clock)
+    this.#fleetView = new fleetViews.FleetView({ name: options.settings.host, availabilityZone: options.settings.availabilityZone, processorShare: options.settings.processorShare }, this.#peerTable, this.#clock, this.#storeReach)
     this.#targetPermits = new targetPermits.TargetPermits({
       clock: this.#clock,
       limits: this.#targetLimits,
@@ -254,11 +256,19 @@
       ready: this.#isReady(),
       load: this.#loadMeter.load(),
       processorShare: this.#settings.processorShare,
+      storeReach: this.#storeReach.state(this.#clock.now()),
       knowledgeAgeMs: Math.max(1, Math.round(Math.min(this.#fleetExchange.knowledgeAgeMs(), MAXIMUM_REPORTED_SILENCE_MS))),
       storeSilenceMs: Math.round(Math.min(this.#configurationWatch.silenceMs(), MAXIMUM_REPORTED_SILENCE_MS))
     }
   }
 
+  /** Judges by a store call that has ended whether this gateway reaches the store, and tells the others of a change. */
+  #recordStoreCall (status: platform.objectStore.StoreStatus): void {
+    if (!this.#storeReach.record(storeCallEnd(status), this.#clock.now())) return
+    this.#logger.info({ event: 'store-reach', state: this.#storeReach.state(this.#clock.now()) })
+    void this.#peerTask.announceSoon()
+  }
+
   #applyAgreement (table: decisions.routeTable.RouteTable): void {
     this.#fleetExchange.confirmAgreement(this.#clock.now())
     this.#callerServer.applyLimits(table.agreement.limits)
@@ -291,7 +301,7 @@
         pool: this.#tokenPool,
         clock: this.#clock,
         random: this.#random,
-        pageWriter: () => this.#fleetView.pageWriter(),
+        pageWriter: (failed) => this.#fleetView.pageWriter(failed),
         requestDraw: async (peerAddress, request) => await this.#peerTask.requestDraw(peerAddress, request)
       }),
       clock: this.#clock,
@@ -404,3 +414,8 @@
     }
   }
 }
+
+function storeCallEnd (status: platform.objectStore.StoreStatus): decisions.storeReach.CallEnd {
+  if (status === 'refused') return decisions.storeReach.CallEnd.refused
+  return status === 'unknown' ? decisions.storeReach.CallEnd.unanswered : decisions.storeReach.CallEnd.answered
+}
--- a/packages/gateway/src/token-page-access.ts
+++ b/packages/gateway/src/token-page-access.ts
@@ -18,14 +18,20 @@
  */
 const DIRECT_DRAW_MAXIMUM_DELAY_MS = 2000
 
+/** Gateways that are asked one after the other to write the page for one draw, before this gateway writes it itself. */
+const MAXIMUM_ASKED_WRITERS = 2
+
 /** Dependencies of the access to the token page. */
 export interface TokenPageAccessOptions {
   pageClient: pageClients.TokenPageClient
   pool: decisions.tokenPool.TokenPool
   clock: decisions.clock.Clock
   random: decisions.random.RandomSource
-  /** Peer address of the gateway that writes the page for all; undefined if that is this gateway, or every gateway of a small fleet. */
-  pageWriter: () => string | undefined
+  /**
+   * Peer address of the gateway that writes the page for all; undefined if that is this gateway, or every gateway of a small fleet. It is not
+   * one of those that `failed` if there are others.
+   */
+  pageWriter: (failed: ReadonlySet<string>) => string | undefined
   /** Asks the page writer to draw. Resolves to undefined if it does not answer in time; tokens that come later are added to the pool. */
   requestDraw: (peerAddress: string, request: routers.gatewayMessages.DrawRequest) => Promise<routers.gatewayMessages.DrawReply | undefined>
 }
@@ -47,9 +53,8 @@
   readonly #reported = new Map<string, ReportedAccount>()
   /** Tokens that this gateway is drawing, by account. */
   readonly #pending = new Map<string, number>()
-  #failedWriter: string | undefined
-  /** Until when the failed page writer is not asked, in milliseconds. */
-  #writerBackoffUntil = -Infinity
+  /** Until when gateways that failed to write the page are not asked again, in milliseconds, by peer address. */
+  readonly #failedWriters = new Map<string, number>()
   /** From when on this gateway writes the page in place of the page writer, in milliseconds. */
   #directDrawAt = -Infinity
 
@@ -77,8 +82,10 @@
 
   /** Returns true if neither the page writer nor the store is likely to answer now. */
   isBackingOff (): boolean {
-    if (this.#options.pageWriter() === undefined) return this.#options.pageClient.isBackingOff()
-    return this.#usableWriter() === undefined && this.#isDirectDrawBackingOff()
+    const { pageClient } = this.#options
+    const writer = this.#pageWriter()
+    if (writer === undefined) return pageClient.isBackingOff()
+    return this.#isFailed(writer) && (this.#isDirectDrawBackingOff() || pageClient.isBackingOff())
   }
 
   /** Draws tokens by account, for which requests wait, and adds them to the pool. With 0 tokens, only learns what remains. */
@@ -87,12 +94,14 @@
   }
 
   async #drawUrgently (draws: ReadonlyMap<string, number>): Promise<pageClients.PageResult> {
-    if (this.#options.pageWriter() === undefined) return await this.#batcher.draw(draws, true)
-    const writer = this.#usableWriter()
-    if (writer !== undefined && await this.#drawThrough(writer, draws, true)) return pageClients.PageResult.changed
-    if (this.#isDirectDrawBackingOff()) return pageClients.PageResult.unreachable
+    let writer = this.#pageWriter()
+    for (let asked = 0; asked < MAXIMUM_ASKED_WRITERS && writer !== undefined && !this.#isFailed(writer); asked++) {
+      if (await this.#drawThrough(writer, draws, true)) return pageClients.PageResult.changed
+      writer = this.#pageWriter()
+    }
+    if (writer !== undefined && this.#isDirectDrawBackingOff()) return pageClients.PageResult.unreachable
     const result = await this.#batcher.draw(draws, true)
-    if (result === pageClients.PageResult.unreachable) this.#delayDirectDraws()
+    if (result === pageClients.PageResult.unreachable && writer !== undefined) this.#delayDirectDraws()
     return result
   }
 
@@ -101,7 +110,7 @@
    * all holders would else write at once when an outage of the store ends.
    */
   async change (draws: ReadonlyMap<string, number>, returned: ReadonlyMap<string, number>): Promise<void> {
-    const writer = this.#options.pageWriter()
+    const writer = this.#pageWriter()
     if (writer === undefined && returned.size > 0) {
       await this.#options.pageClient.ask(new Map([...draws, ...[...returned].map(([account, tokens]): [string, number] => [account, -tokens])]))
       return
@@ -132,7 +141,7 @@
 
   async #drawAhead (writer: string | undefined, draws: ReadonlyMap<string, number>): Promise<void> {
     if (writer === undefined) await this.#batcher.draw(draws, false)
-    else if (this.#usableWriter() === writer) await this.#drawThrough(writer, draws, false)
+    else if (!this.#isFailed(writer)) await this.#drawThrough(writer, draws, false)
   }
 
   async #whilePending<Result> (draws: ReadonlyMap<string, number>, draw: () => Promise<Result>): Promise<Result> {
@@ -147,20 +156,22 @@
   async #drawThrough (writer: string, draws: ReadonlyMap<string, number>, isUrgent: boolean): Promise<boolean> {
     const reply = await this.#options.requestDraw(writer, { draws: [...draws].map(([account, tokens]) => ({ account, tokens })), isUrgent })
     if (reply?.isDone !== true) {
-      if (reply !== undefined && this.#failedWriter !== writer) this.#delayDirectDraws()
-      this.#failedWriter = writer
-      this.#writerBackoffUntil = this.#options.clock.now() + (reply === undefined ? SILENT_WRITER_BACKOFF_MS : CUT_OFF_WRITER_BACKOFF_MS)
+      if (reply !== undefined && !this.#failedWriters.has(writer)) this.#delayDirectDraws()
+      this.#failedWriters.set(writer, this.#options.clock.now() + (reply === undefined ? SILENT_WRITER_BACKOFF_MS : CUT_OFF_WRITER_BACKOFF_MS))
       return false
     }
-    this.#failedWriter = undefined
+    this.#failedWriters.delete(writer)
     for (const { account, tokens } of reply.drawn) this.#options.pool.add(account, tokens)
     for (const { account, tokens } of reply.remaining) this.#reported.set(account, { remaining: tokens, asOf: this.#options.clock.now() - reply.pageAgeMs })
     return true
   }
 
-  #usableWriter (): string | undefined {
-    const writer = this.#options.pageWriter()
-    return writer === this.#failedWriter && this.#options.clock.now() < this.#writerBackoffUntil ? undefined : writer
+  #pageWriter (): string | undefined {
+    return this.#options.pageWriter(new Set([...this.#failedWriters.keys()].filter((writer) => this.#isFailed(writer))))
+  }
+
+  #isFailed (writer: string): boolean {
+    return this.#options.clock.now() < (this.#failedWriters.get(writer) ?? -Infinity)
   }
 
   #isDirectDrawBackingOff (): boolean {
--- a/packages/gateway/test/budget-load.test.ts
+++ b/packages/gateway/test/budget-load.test.ts
@@ -109,7 +109,8 @@
 
   #pageWriter (index: number): string | undefined {
     if (this.#gatewayCount <= decisions.fleetSize.MAXIMUM_SMALL_FLEET_SIZE) return undefined
-    const writer = decisions.tokenHolders.selectPageWriter(this.#drawingGateways())
+    const drawing = this.#drawingGateways()
+    const [writer] = decisions.tokenHolders.orderPageWriters(drawing.map((name) => ({ name, reach: decisions.storeReach.ReachState.unknown })), drawing)
     return writer === String(index) ? undefined : writer
   }
 
--- a/packages/gateway/test/token-fleet.ts
+++ b/packages/gateway/test/token-fleet.ts
@@ -54,9 +54,11 @@
   async #call<Result> (call: () => Promise<Outcome<Result>>): Promise<Outcome<Result>> {
     const isCut = this.isCut
     await this.#clock.sleep(isCut ? STORE_TIMEOUT_MS : STORE_ANSWER_MS)
-    if (isCut) return { status: 'unknown', step: 'call', reason: 'no answer' }
+    const outcome = isCut ? undefined : await call()
+    this.reportCallEnd(outcome?.status ?? 'unknown')
+    if (outcome === undefined) return { status: 'unknown', step: 'call', reason: 'no answer' }
     this.learnEpoch(platform.objectStore.FIRST_EPOCH)
-    return await call()
+    return outcome
   }
 }
 
@@ -78,6 +80,7 @@
   readonly pageClient: tokenPageClients.TokenPageClient
   readonly allocator: tokenAllocators.TokenAllocator
   readonly #fleet: TokenFleet
+  readonly #reach = new decisions.storeReach.StoreReach()
   readonly #incarnation: string
   readonly #name: string
   readonly #zone: string
@@ -93,9 +96,13 @@
     this.#incarnation = `${index}-${generation}`
     this.#nextPeer = index
     this.link = new StoreLink(fleet.store, fleet.clock)
+    this.link.onCallEnd((status) => {
+      const end = status === 'unknown' ? decisions.storeReach.CallEnd.unanswered : decisions.storeReach.CallEnd.answered
+      if (this.#reach.record(end, fleet.clock.now())) this.announce()
+    })
     this.peers = new peerTables.PeerTable(this.#name)
     for (let other = 0; other < fleet.size; other++) this.peers.addAddress(String(other), fleet.clock.now())
-    this.view = new fleetViews.FleetView({ name: this.#name, availabilityZone: this.#zone, processorShare: 1 }, this.peers, fleet.clock)
+    this.view = new fleetViews.FleetView({ name: this.#name, availabilityZone: this.#zone, processorShare: 1 }, this.peers, fleet.clock, this.#reach)
     const random = new decisions.random.SeededRandom(index + 1000 * generation)
     const shared = { clock: fleet.clock, random, logger: runtime.logging.createLogger('silent'), prepaidTotals: () => ({ version: 1, totals: fleet.totals }) }
     this.pageClient = new tokenPageClients.TokenPageClient({ ...shared, knowledge: pageStores.completeKnowledge, incarnation: this.#incarnation, store: this.link, onTokensCredited: (account, tokens) => { this.pool.add(account, tokens) } })
@@ -103,7 +110,7 @@
       ...shared,
       pageClient: this.pageClient,
       pool: this.pool,
-      pageWriter: () => this.view.pageWriter(),
+      pageWriter: (failed) => this.view.pageWriter(failed),
       requestDraw: async (address, request) => await this.#ask(address, request.isUrgent ? URGENT_WAIT_MS : AHEAD_WAIT_MS, async (other) => await other.allocator.handleDraw(request),
         (reply) => { for (const { account, tokens } of reply.drawn) this.pool.add(account, tokens) })
     })
@@ -172,7 +179,7 @@
 
   heartbeat (): routers.gatewayMessages.GatewayHeartbeat {
     this.#sequence += 1
-    const sender = { host: this.#name, incarnation: this.#incarnation, peerAddress: this.#name, callerAddress: '', availabilityZone: this.#zone, leaving: this.isLeaving, ready: true, load: 0, storeSilenceMs: 0, processorShare: 1, knowledgeAgeMs: 1 }
+    const sender = { host: this.#name, incarnation: this.#incarnation, peerAddress: this.#name, callerAddress: '', availabilityZone: this.#zone, leaving: this.isLeaving, ready: true, load: 0, storeSilenceMs: 0, processorShare: 1, knowledgeAgeMs: 1, storeReach: this.#reach.state(this.#fleet.clock.now()) }
     return { sender, heard: this.peers.selectHeardGateways(this.#fleet.clock.now()), agreementVersion: 1, targetsRevision: 0, targetsEpoch: 1, storeEpoch: 1, pageEpoch: 1, drawnTokens: {}, drawnChange: 0, work: [], freeTokens: {}, spending: {}, leavingTargets: [], sequence: this.#sequence, asksForAnswer: false, promptParts: [], targetLimits: [] }
   }
 }
@@ -246,7 +253,7 @@
 
   /** The gateway that holds an account's tokens, its standby, or the one that writes the page, as the first gateway sees it. */
   indexOf (which: 'holder' | 'standby' | 'writer', account = 'account-0'): number {
-    const isWanted = ({ view }: FleetGateway): boolean => which === 'writer' ? view.pageWriter() === undefined : view.holders(account).role === which
+    const isWanted = ({ view }: FleetGateway): boolean => which === 'writer' ? view.pageWriter(new Set()) === undefined : view.holders(account).role === which
     return this.gateways.findIndex(isWanted)
   }
 
--- a/packages/gateway/test/token-page-conflicts.test.ts
+++ b/packages/gateway/test/token-page-conflicts.test.ts
@@ -170,7 +170,7 @@
         clock: this.clock,
         random: shared.random,
         pageWriter: () => {
-          const writer = decisions.tokenHolders.selectPageWriter(this.#drawing)
+          const [writer] = decisions.tokenHolders.orderPageWriters(this.#drawing.map((name) => ({ name, reach: decisions.storeReach.ReachState.unknown })), this.#drawing)
           return writer === String(index) ? undefined : writer
         },
         requestDraw: async (peerAddress, request) => {
--- a/packages/platform/src/object-store.ts
+++ b/packages/platform/src/object-store.ts
@@ -65,6 +65,7 @@
 export abstract class ObjectStore {
   readonly callCounts: StoreCallCounts = { read: 0, write: 0, list: 0, watch: 0 }
   readonly #epochListeners: Array<(epoch: number) => void> = []
+  readonly #callListeners: Array<(status: StoreStatus) => void> = []
   #epoch = 0
 
   /**
@@ -89,6 +90,15 @@
     this.#epochListeners.push(listener)
   }
 
+  /** Calls the listener with the status of each call that has ended. */
+  onCallEnd (listener: (status: StoreStatus) => void): void {
+    this.#callListeners.push(listener)
+  }
+
+  protected reportCallEnd (status: StoreStatus): void {
+    for (const notify of this.#callListeners) notify(status)
+  }
+
   abstract read (kind: string, name: string): Promise<StoreOutcome<StoreObject>>
   /** Lists all objects of a kind, page by page if necessary. */
   abstract list (kind: string): Promise<StoreOutcome<ObjectList>>
--- a/packages/routers/src/gateway-messages.ts
+++ b/packages/routers/src/gateway-messages.ts
@@ -18,6 +18,8 @@
   processorShare: number
   /** Time since what the gateway knows of the agreement and the targets was current, in milliseconds; 0 if the gateway doesn't say. */
   knowledgeAgeMs: number
+  /** Whether the gateway reaches the store: a `ReachState`, or a number that a later release has added. */
+  storeReach: number
 }
 
 /** A live gateway known to the sender from heartbeats, its own or those of other gateways (gossip). */
