--- a/packages/gateway/test/budget-reach.test.ts
+++ b/packages/gateway/test/budget-reach.test.ts
@@ -13,6 +13,9 @@
 const LOAD_TO_MS = 34_000
 const END_MS = 36_000
 
+/** Largest share of an account's unspent tokens that may be held at a time: a little more than the level that its holder keeps. */
+const MAXIMUM_HELD_SHARE = 0.4
+
 interface Trouble {
   name: string
   play: (fleet: fleets.TokenFleet) => Promise<void>
@@ -96,5 +99,26 @@
         expect(lost / total, seen).to.be.within(0, maximumLostShare)
       })
     }
+
+    for (const answerMs of [250, 500]) {
+      it(`are drawn on once where the store has been away and then takes ${answerMs} ms to answer`, async () => {
+        const fleet = new fleets.TokenFleet(size, LOAD)
+        await fleet.clock.runUntil(LOAD_FROM_MS)
+        void fleet.load(LOAD_TO_MS)
+        await fleet.clock.runUntil(TROUBLE_FROM_MS)
+        const all = fleet.gateways.map((_gateway, index) => index)
+        fleet.cut(all, true)
+        await fleet.clock.runUntil(TROUBLE_FROM_MS + 8000)
+        fleet.slowDown(answerMs)
+        fleet.cut(all, false)
+        let mostHeld = 0
+        for (let time = fleet.clock.now(); time < LOAD_TO_MS; time += 20) {
+          await fleet.clock.runUntil(time)
+          mostHeld = Math.max(mostHeld, fleet.heldShare('account-0'))
+        }
+        if (process.env.SHOW_FIGURES !== undefined) console.log(`${mostHeld} of what is unspent held at most, ${fleet.outcomes.unreachable} refused`)
+        expect(mostHeld).to.be.at.most(MAXIMUM_HELD_SHARE)
+      })
+    }
   })
 }
--- a/packages/gateway/test/token-fleet.ts
+++ b/packages/gateway/test/token-fleet.ts
@@ -13,7 +13,7 @@
 type StoreObject = platform.objectStore.StoreObject
 type Outcome<Result> = platform.objectStore.StoreOutcome<Result>
 
-/** Time that the store and another gateway take to answer, in milliseconds. */
+/** Time that the store usually takes to answer, and that another gateway takes, in milliseconds. */
 const STORE_ANSWER_MS = 6
 const GATEWAY_ANSWER_MS = 3
 
@@ -32,6 +32,8 @@
 /** One gateway's way to the store that all share. */
 class StoreLink extends platform.objectStore.ObjectStore {
   isCut = false
+  /** Time that the store takes to answer, in milliseconds. */
+  answerMs = STORE_ANSWER_MS
   readonly #shared: pageStores.FakePageStore
   readonly #clock: decisions.clock.Clock
 
@@ -53,7 +55,7 @@
 
   async #call<Result> (call: () => Promise<Outcome<Result>>): Promise<Outcome<Result>> {
     const isCut = this.isCut
-    await this.#clock.sleep(isCut ? STORE_TIMEOUT_MS : STORE_ANSWER_MS)
+    await this.#clock.sleep(isCut ? STORE_TIMEOUT_MS : this.answerMs)
     const outcome = isCut ? undefined : await call()
     this.reportCallEnd(outcome?.status ?? 'unknown')
     if (outcome === undefined) return { status: 'unknown', step: 'call', reason: 'no answer' }
@@ -251,10 +253,15 @@
     for (const index of indexes) this.gateways[index].link.isCut = isCut
   }
 
+  /** Lets the store take a time to answer, in milliseconds, for all gateways. */
+  slowDown (answerMs: number): void {
+    for (const { link } of this.gateways) link.answerMs = answerMs
+  }
+
   /** The gateway that holds an account's tokens, its standby, or the one that writes the page, as the first gateway sees it. */
   indexOf (which: 'holder' | 'standby' | 'writer', account = 'account-0'): number {
     const isWanted = ({ view }: FleetGateway): boolean => which === 'writer' ? view.pageWriter(new Set()) === undefined : view.holders(account).role === which
-    return this.gateways.findIndex(isWanted)
+    return this.gateways.findIndex((gateway) => !gateway.isLeaving && isWanted(gateway))
   }
 
   /** Tokens that all gateways together have drawn and not returned. */
@@ -267,6 +274,12 @@
     return this.gateways.reduce((sum, { pool }) => sum + pool.freeTokens(account), 0)
   }
 
+  /** Free tokens of an account at all gateways together, as a share of those that are not spent yet. */
+  heldShare (account: string): number {
+    const free = this.free(account)
+    return free / (free + this.totals[account] - this.drawn(account))
+  }
+
   /** Tokens that were drawn and are neither spent nor held by a live gateway; negative if more was spent than drawn. */
   lostTokens (): number {
     const drawn = Object.keys(this.totals).reduce((sum, account) => sum + this.drawn(account), 0)
