Draw a level once: late draws stay pending, the standby doesn't draw for the holder, and a gateway that leaves holds nothing ahead

Now a late answer keeps its draw pending, only what waiting requests need is drawn meanwhile, and what a leaving gateway gets goes to the next holder.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -301,6 +301,7 @@
         pool: this.#tokenPool,
         clock: this.#clock,
         random: this.#random,
+        logger: this.#logger,
         pageWriter: (failed) => this.#fleetView.pageWriter(failed),
         requestDraw: async (peerAddress, request) => await this.#peerTask.requestDraw(peerAddress, request)
       }),
--- a/packages/gateway/src/peer-task.ts
+++ b/packages/gateway/src/peer-task.ts
@@ -24,9 +24,6 @@
 /** Time that a request waits for a token transfer, in milliseconds. The other gateway may have to draw the tokens first. */
 const TRANSFER_WAIT_MS = 150
 
-/** Time after which a draw ahead of demand counts as unanswered, in milliseconds. It may wait to be written together with others. */
-const AHEAD_DRAW_WAIT_MS = 1000
-
 /** Timeout for one call of a token transfer or return, in milliseconds. An overloaded gateway answers late, with tokens that left its pool. */
 const TRANSFER_TIMEOUT_MS = 2000
 
@@ -151,18 +148,8 @@
     return timelyReply
   }
 
-  /**
-   * Asks another gateway to draw tokens from the token page. Resolves to undefined if no reply comes in time. The tokens of a late reply are
-   * added to the pool; if none comes at all, tokens that were drawn count as spent.
-   */
+  /** Asks another gateway to draw tokens from the token page. Resolves to undefined if no reply comes; tokens that were drawn then count as spent. */
   async requestDraw (peerAddress: string, request: routers.gatewayMessages.DrawRequest): Promise<routers.gatewayMessages.DrawReply | undefined> {
-    const reply = this.#callForDraw(peerAddress, request)
-    const timelyReply = await this.#within(reply, request.isUrgent ? TRANSFER_WAIT_MS : AHEAD_DRAW_WAIT_MS)
-    if (timelyReply === undefined) void reply.then((lateReply) => { this.#addLateDraw(peerAddress, lateReply) })
-    return timelyReply
-  }
-
-  async #callForDraw (peerAddress: string, request: routers.gatewayMessages.DrawRequest): Promise<routers.gatewayMessages.DrawReply | undefined> {
     try {
       return await this.#client.call(peerAddress, 'DrawTokens', request, TRANSFER_TIMEOUT_MS)
     } catch (error) {
@@ -171,11 +158,6 @@
     }
   }
 
-  #addLateDraw (peerAddress: string, reply: routers.gatewayMessages.DrawReply | undefined): void {
-    for (const { account, tokens } of reply?.drawn ?? []) this.#options.addReturnedTokens(account, tokens)
-    if (reply !== undefined) this.#options.logger.info({ event: 'draw-late', peer: peerAddress, drawn: reply.drawn })
-  }
-
   async #within<Reply> (reply: Promise<Reply>, milliseconds: number): Promise<Reply | undefined> {
     const timer = new AbortController()
     const timelyReply = await Promise.race([reply, this.#options.clock.sleep(milliseconds, timer.signal).then(() => undefined)])
--- a/packages/gateway/src/token-acquirer.ts
+++ b/packages/gateway/src/token-acquirer.ts
@@ -115,7 +115,8 @@
       const sinceInsufficientMs = clock.now() - (this.#insufficientDrawAt.get(account) ?? -Infinity)
       const isLikelyInsufficient = sinceInsufficientMs < INSUFFICIENT_DRAW_BACKOFF_MS && page.remaining(account) < deficit
       if (page.isBackingOff() || isLikelyInsufficient) return
-      draw = page.draw(new Map([[account, Math.max(deficit, this.#estimator.desiredLevel(account) - page.pending(account))]])).finally(() => { this.#draws.delete(account) })
+      const wanted = Math.max(deficit, this.#estimator.desiredLevel(account) - page.pending(account))
+      draw = page.draw(new Map([[account, wanted]]), new Map([[account, deficit]])).finally(() => { this.#draws.delete(account) })
       this.#draws.set(account, draw)
     }
     await Promise.race([draw, clock.sleep(PAGE_WAIT_TIMEOUT_MS)])
@@ -132,7 +133,7 @@
       const deficit = this.deficit(account)
       if (deficit <= 0 || this.#options.clock.now() >= deadline) return
       const expectedSpending = this.#pool.expectedSpending(account, PREFETCH_SECONDS, this.#seconds())
-      const isPrefetchUseful = expectedSpending > deficit * MINIMUM_PREFETCH_RATIO && !this.#options.hasLateTransfer(account)
+      const isPrefetchUseful = role !== TokenRole.holder && expectedSpending > deficit * MINIMUM_PREFETCH_RATIO && !this.#options.hasLateTransfer(account)
       const requested = isPrefetchUseful ? deficit + expectedSpending : deficit
       const received = await this.#options.requestTransfer(holder.peerAddress, account, requested)
       this.#pool.add(account, received?.tokens ?? 0)
--- a/packages/gateway/src/token-allocator.ts
+++ b/packages/gateway/src/token-allocator.ts
@@ -106,16 +106,18 @@
 
   /**
    * Takes free tokens out of the pool for another gateway, up to the requested number. In a small fleet, a gateway that needs the tokens
-   * itself and has priority gives none. In a large one it draws what it lacks first, whatever its role: the asking gateway may know the
-   * fleet better.
+   * itself and has priority gives none. In a large one it draws what it lacks first, whatever its role, except for the holder: the asking gateway
+   * may know the fleet better.
    */
   async handleTransfer ({ account, tokens, asker }: routers.gatewayMessages.TokenTransferRequest): Promise<routers.gatewayMessages.TokenTransferReply> {
-    const { role } = this.#options.holders(account)
+    const { role, otherHolders } = this.#options.holders(account)
     if (role === TokenRole.peer) {
       const given = this.#acquirer.hasPriorityOver(account, asker) ? 0 : this.#pool.withdraw(account, tokens)
       return { tokens: given, usedUp: false, freeTokens: this.#pool.freeTokens(account) }
     }
-    if (this.#pool.freeTokens(account) < tokens) await this.#drawForTransfer(account, tokens)
+    // The holder draws at the same time, and would find here the same tokens once more.
+    const isAskedByHolder = role === TokenRole.standby && otherHolders[0]?.peerAddress === asker
+    if (this.#pool.freeTokens(account) < tokens && !isAskedByHolder) await this.#drawForTransfer(account, tokens)
     const given = this.#pool.transferOut(account, tokens, this.#seconds())
     const usedUp = role === TokenRole.holder && given < tokens && this.#estimator.isUsedUp(account, tokens - given)
     return { tokens: given, usedUp, freeTokens: this.#pool.freeTokens(account) }
@@ -130,9 +132,13 @@
     }
   }
 
-  /** Returns all free tokens to the token page, or to another gateway if the store is unreachable. Stops rebalancing. */
+  /**
+   * Returns all free tokens to the token page, or to another gateway if the store is unreachable, and holds none ahead of demand any more. What
+   * requests free later goes to the gateway that holds the account's tokens.
+   */
   async returnAllTokens (): Promise<void> {
     this.#isClosing = true
+    this.#estimator.close()
     const returned = new Map<string, number>()
     for (const [account, level] of this.#pool.levels()) {
       const tokens = this.#pool.withdraw(account, level.free)
@@ -159,8 +165,12 @@
    */
   async rebalance (): Promise<void> {
     const totals = this.#options.prepaidTotals()
-    if (totals === undefined || this.#isClosing || !this.#options.isFleetKnown()) return
+    if (totals === undefined || !this.#options.isFleetKnown()) return
     const accounts = Object.keys(totals.totals)
+    if (this.#isClosing) {
+      await Promise.all(accounts.map(async (account) => { await this.#returnToHolder(account, Infinity) }))
+      return
+    }
     const isBorrowed = (account: string): boolean => this.#isBorrowed(account)
     await Promise.all([
       ...accounts.filter(isBorrowed).map(async (account) => { await this.#returnExcess(account, totals.totals[account]) }),
--- a/packages/gateway/src/token-estimator.ts
+++ b/packages/gateway/src/token-estimator.ts
@@ -21,6 +21,7 @@
   readonly #options: types.TokenAllocatorOptions
   /** Time of the holder's last report that the budget is used up, by account. */
   readonly #usedUpAt = new Map<string, number>()
+  #isClosing = false
 
   constructor (pool: decisions.tokenPool.TokenPool, options: types.TokenAllocatorOptions) {
     this.#pool = pool
@@ -32,6 +33,7 @@
    * what it gives to others. All others keep what they have, up to one second of spending, while they serve the account.
    */
   desiredLevel (account: string): number {
+    if (this.#isClosing) return 0
     const { role, otherHolders } = this.#options.holders(account)
     if (role === TokenRole.borrower || role === TokenRole.standby) {
       if (this.#pool.idleSeconds(account, this.#seconds()) > BORROWER_IDLE_SECONDS) return 0
@@ -47,6 +49,11 @@
     }, this.#options.policy, this.#seconds())
   }
 
+  /** Lets the pool hold nothing ahead of demand any more. */
+  close (): void {
+    this.#isClosing = true
+  }
+
   /** Records that the holder reported the account's budget as used up. */
   recordUsedUp (account: string): void {
     this.#usedUpAt.set(account, this.#options.clock.now())
--- a/packages/gateway/src/token-page-access.ts
+++ b/packages/gateway/src/token-page-access.ts
@@ -1,5 +1,6 @@
 import type * as decisions from '@acaciaweir/decisions'
 import type * as routers from '@acaciaweir/routers'
+import type * as runtime from '@acaciaweir/runtime'
 import * as batchers from './draw-batcher.js'
 import * as pageClients from './token-page-client.js'
 
@@ -18,6 +19,10 @@
  */
 const DIRECT_DRAW_MAXIMUM_DELAY_MS = 2000
 
+/** Time that a draw for which requests wait, and a draw ahead of demand, wait for a gateway's answer before another way is tried, in milliseconds. */
+const URGENT_DRAW_WAIT_MS = 150
+const AHEAD_DRAW_WAIT_MS = 1000
+
 /** Gateways that are asked one after the other to write the page for one draw, before this gateway writes it itself. */
 const MAXIMUM_ASKED_WRITERS = 2
 
@@ -27,15 +32,20 @@
   pool: decisions.tokenPool.TokenPool
   clock: decisions.clock.Clock
   random: decisions.random.RandomSource
+  logger: runtime.logging.Logger
   /**
    * Peer address of the gateway that writes the page for all; undefined if that is this gateway, or every gateway of a small fleet. It is not
    * one of those that `failed` if there are others.
    */
   pageWriter: (failed: ReadonlySet<string>) => string | undefined
-  /** Asks the page writer to draw. Resolves to undefined if it does not answer in time; tokens that come later are added to the pool. */
+  /** Asks the page writer to draw. Resolves to undefined as soon as no answer can come any more. */
   requestDraw: (peerAddress: string, request: routers.gatewayMessages.DrawRequest) => Promise<routers.gatewayMessages.DrawReply | undefined>
 }
 
+/** Outcome of asking another gateway to draw. `late`: no answer yet; what it draws may still come. */
+const DrawOutcome = { done: 'done', failed: 'failed', late: 'late' } as const
+type DrawOutcome = typeof DrawOutcome[keyof typeof DrawOutcome]
+
 interface ReportedAccount {
   remaining: number
   /** When the page was as reported, in milliseconds. */
@@ -88,19 +98,21 @@
     return this.#isFailed(writer) && (this.#isDirectDrawBackingOff() || pageClient.isBackingOff())
   }
 
-  /** Draws tokens by account, for which requests wait, and adds them to the pool. With 0 tokens, only learns what remains. */
-  async draw (draws: ReadonlyMap<string, number>): Promise<pageClients.PageResult> {
-    return await this.#whilePending(draws, async () => await this.#drawUrgently(draws))
-  }
-
-  async #drawUrgently (draws: ReadonlyMap<string, number>): Promise<pageClients.PageResult> {
+  /**
+   * Draws tokens by account, for which requests wait, and adds them to the pool. With 0 tokens, only learns what remains. While an answer is late,
+   * only what the requests need is drawn on another way: the rest may still come.
+   */
+  async draw (draws: ReadonlyMap<string, number>, needed = draws): Promise<pageClients.PageResult> {
+    let isAnswerLate = false
     let writer = this.#pageWriter()
     for (let asked = 0; asked < MAXIMUM_ASKED_WRITERS && writer !== undefined && !this.#isFailed(writer); asked++) {
-      if (await this.#drawThrough(writer, draws, true)) return pageClients.PageResult.changed
+      const outcome = await this.#drawThrough(writer, isAnswerLate ? needed : draws, true)
+      if (outcome === DrawOutcome.done) return pageClients.PageResult.changed
+      isAnswerLate ||= outcome === DrawOutcome.late
       writer = this.#pageWriter()
     }
     if (writer !== undefined && this.#isDirectDrawBackingOff()) return pageClients.PageResult.unreachable
-    const result = await this.#batcher.draw(draws, true)
+    const result = await this.#drawDirectly(isAnswerLate ? needed : draws, true)
     if (result === pageClients.PageResult.unreachable && writer !== undefined) this.#delayDirectDraws()
     return result
   }
@@ -115,7 +127,8 @@
       await this.#options.pageClient.ask(new Map([...draws, ...[...returned].map(([account, tokens]): [string, number] => [account, -tokens])]))
       return
     }
-    if (draws.size > 0) await this.#whilePending(draws, async () => { await this.#drawAhead(writer, draws) })
+    if (draws.size > 0 && writer === undefined) await this.#drawDirectly(draws, false)
+    else if (draws.size > 0 && writer !== undefined && !this.#isFailed(writer)) await this.#drawThrough(writer, draws, false)
     if (returned.size > 0) await this.giveBack(returned)
   }
 
@@ -139,31 +152,48 @@
     }
   }
 
-  async #drawAhead (writer: string | undefined, draws: ReadonlyMap<string, number>): Promise<void> {
-    if (writer === undefined) await this.#batcher.draw(draws, false)
-    else if (!this.#isFailed(writer)) await this.#drawThrough(writer, draws, false)
+  async #drawDirectly (draws: ReadonlyMap<string, number>, isUrgent: boolean): Promise<pageClients.PageResult> {
+    return await this.#whilePending(draws, this.#batcher.draw(draws, isUrgent))
   }
 
-  async #whilePending<Result> (draws: ReadonlyMap<string, number>, draw: () => Promise<Result>): Promise<Result> {
+  /** Counts the draws as pending until the answer comes, or can't come any more. */
+  async #whilePending<Result> (draws: ReadonlyMap<string, number>, answer: Promise<Result>): Promise<Result> {
     for (const [account, tokens] of draws) this.#pending.set(account, this.pending(account) + tokens)
     try {
-      return await draw()
+      return await answer
     } finally {
       for (const [account, tokens] of draws) this.#pending.set(account, this.pending(account) - tokens)
     }
   }
 
-  async #drawThrough (writer: string, draws: ReadonlyMap<string, number>, isUrgent: boolean): Promise<boolean> {
-    const reply = await this.#options.requestDraw(writer, { draws: [...draws].map(([account, tokens]) => ({ account, tokens })), isUrgent })
+  async #drawThrough (writer: string, draws: ReadonlyMap<string, number>, isUrgent: boolean): Promise<DrawOutcome> {
+    let isLate = false
+    const request = { draws: [...draws].map(([account, tokens]) => ({ account, tokens })), isUrgent }
+    const answer = this.#whilePending(draws, this.#options.requestDraw(writer, request)).then((reply) => this.#recordReply(writer, reply, isLate))
+    const timer = new AbortController()
+    const outcome = await Promise.race([answer, this.#options.clock.sleep(isUrgent ? URGENT_DRAW_WAIT_MS : AHEAD_DRAW_WAIT_MS, timer.signal).then(() => DrawOutcome.late)])
+    timer.abort()
+    if (outcome === DrawOutcome.late) {
+      isLate = true
+      if (!this.#failedWriters.has(writer)) this.#delayDirectDraws()
+      this.#failedWriters.set(writer, this.#options.clock.now() + SILENT_WRITER_BACKOFF_MS)
+    }
+    return outcome
+  }
+
+  /** Adds what another gateway drew for this one to the pool. */
+  #recordReply (writer: string, reply: routers.gatewayMessages.DrawReply | undefined, isLate: boolean): DrawOutcome {
+    const { clock, logger, pool } = this.#options
     if (reply?.isDone !== true) {
-      if (reply !== undefined && !this.#failedWriters.has(writer)) this.#delayDirectDraws()
-      this.#failedWriters.set(writer, this.#options.clock.now() + (reply === undefined ? SILENT_WRITER_BACKOFF_MS : CUT_OFF_WRITER_BACKOFF_MS))
-      return false
+      if (reply !== undefined && (isLate || !this.#failedWriters.has(writer))) this.#delayDirectDraws()
+      this.#failedWriters.set(writer, clock.now() + (reply === undefined ? SILENT_WRITER_BACKOFF_MS : CUT_OFF_WRITER_BACKOFF_MS))
+      return DrawOutcome.failed
     }
     this.#failedWriters.delete(writer)
-    for (const { account, tokens } of reply.drawn) this.#options.pool.add(account, tokens)
-    for (const { account, tokens } of reply.remaining) this.#reported.set(account, { remaining: tokens, asOf: this.#options.clock.now() - reply.pageAgeMs })
-    return true
+    for (const { account, tokens } of reply.drawn) pool.add(account, tokens)
+    for (const { account, tokens } of reply.remaining) this.#reported.set(account, { remaining: tokens, asOf: clock.now() - reply.pageAgeMs })
+    if (isLate) logger.info({ event: 'draw-late', peer: writer, drawn: reply.drawn })
+    return DrawOutcome.done
   }
 
   #pageWriter (): string | undefined {
--- a/packages/gateway/test/budget-load.test.ts
+++ b/packages/gateway/test/budget-load.test.ts
@@ -136,6 +136,7 @@
         pageClient: pages,
         pool,
         clock,
+        logger,
         random: new decisions.random.SeededRandom(index),
         pageWriter: () => this.#pageWriter(index),
         requestDraw: async (peerAddress, request) => await this.#gateways[Number(peerAddress)].task.handleDraw(request)
--- a/packages/gateway/test/token-allocator.test.ts
+++ b/packages/gateway/test/token-allocator.test.ts
@@ -36,7 +36,7 @@
       prepaidTotals: totals,
       selfAddress: '10.0.0.1:1',
       policy: tokenAllocators.POOL_POLICY,
-      page: new tokenPageAccesses.TokenPageAccess({ pageClient: pages, pool: this.pool, clock, random: new decisions.random.SeededRandom(3), pageWriter: () => undefined, requestDraw: async () => undefined }),
+      page: new tokenPageAccesses.TokenPageAccess({ pageClient: pages, pool: this.pool, clock, logger, random: new decisions.random.SeededRandom(3), pageWriter: () => undefined, requestDraw: async () => undefined }),
       random: new decisions.random.SeededRandom(1),
       isFleetKnown: () => true,
       holders: (account) => ({ role: account === 'drawn' ? TokenRole.holder : TokenRole.borrower, otherHolders: [{ peerAddress: HOLDER, freeTokens: undefined, spending: undefined }] }),
--- a/packages/gateway/test/token-fleet.ts
+++ b/packages/gateway/test/token-fleet.ts
@@ -21,8 +21,8 @@
 const STORE_TIMEOUT_MS = 800
 
 /** Times that a gateway waits for another one: as PeerTask does, in milliseconds. */
-const URGENT_WAIT_MS = 150
-const AHEAD_WAIT_MS = 1000
+const TRANSFER_WAIT_MS = 150
+const CALL_TIMEOUT_MS = 2000
 
 const HEARTBEAT_INTERVAL_MS = 300
 const HEARTBEATS_PER_ROUND = 2
@@ -113,8 +113,7 @@
       pageClient: this.pageClient,
       pool: this.pool,
       pageWriter: (failed) => this.view.pageWriter(failed),
-      requestDraw: async (address, request) => await this.#ask(address, request.isUrgent ? URGENT_WAIT_MS : AHEAD_WAIT_MS, async (other) => await other.allocator.handleDraw(request),
-        (reply) => { for (const { account, tokens } of reply.drawn) this.pool.add(account, tokens) })
+      requestDraw: async (address, request) => await this.#ask(address, CALL_TIMEOUT_MS, async (other) => await other.allocator.handleDraw(request), () => {})
     })
     this.allocator = new tokenAllocators.TokenAllocator(this.pool, {
       ...shared,
@@ -123,7 +122,7 @@
       policy: tokenAllocators.POOL_POLICY,
       isFleetKnown: () => this.view.isFleetKnown(),
       holders: (account) => this.view.holders(account),
-      requestTransfer: async (address, account, tokens) => await this.#ask(address, URGENT_WAIT_MS, async (other) => await other.allocator.handleTransfer({ transferId: '', account, tokens, asker: this.#name }),
+      requestTransfer: async (address, account, tokens) => await this.#ask(address, TRANSFER_WAIT_MS, async (other) => await other.allocator.handleTransfer({ transferId: '', account, tokens, asker: this.#name }),
         (reply) => { this.pool.add(account, reply.tokens) }),
       hasLateTransfer: () => false,
       returnTokens: async (address, account, tokens) => { fleet.gateways[Number(address)].pool.add(account, tokens) }
--- a/packages/gateway/test/token-page-access.test.ts
+++ b/packages/gateway/test/token-page-access.test.ts
@@ -48,13 +48,12 @@
 
   #addGateway (index: number): void {
     const pool = new decisions.tokenPool.TokenPool()
-    const shared = { clock: this.clock, random: new decisions.random.SeededRandom(index) }
+    const shared = { clock: this.clock, logger: runtime.logging.createLogger('silent'), random: new decisions.random.SeededRandom(index) }
     const pageClient = new tokenPageClients.TokenPageClient({
       knowledge: stores.completeKnowledge,
       ...shared,
       incarnation: `gateway-${index}`,
       store: this.store,
-      logger: runtime.logging.createLogger('silent'),
       prepaidTotals: () => ({ version: 1, totals: { depot: TOTAL } }),
       onTokensCredited: (account, tokens) => { pool.add(account, tokens) }
     })
--- a/packages/gateway/test/token-page-conflicts.test.ts
+++ b/packages/gateway/test/token-page-conflicts.test.ts
@@ -168,6 +168,7 @@
         pageClient,
         pool,
         clock: this.clock,
+        logger: shared.logger,
         random: shared.random,
         pageWriter: () => {
           const [writer] = decisions.tokenHolders.orderPageWriters(this.#drawing.map((name) => ({ name, reach: decisions.storeReach.ReachState.unknown })), this.#drawing)
