--- a/packages/gateway/test/budget-reach.test.ts
+++ b/packages/gateway/test/budget-reach.test.ts
@@ -118,6 +118,22 @@
         }
         if (process.env.SHOW_FIGURES !== undefined) console.log(`${mostHeld} of what is unspent held at most, ${fleet.outcomes.unreachable} refused`)
         expect(mostHeld).to.be.at.most(MAXIMUM_HELD_SHARE)
+        expect(fleet.outcomes.unreachable / (fleet.outcomes.reserved + fleet.outcomes.unreachable)).to.be.at.most(0.01)
+      })
+    }
+
+    for (const asker of ['holder', 'standby', 'borrower'] as const) {
+      it(`are not told to be used up by the ${asker} when tokens came back to the page since it was read`, async () => {
+        const fleet = new fleets.TokenFleet(size, LOAD)
+        await fleet.clock.runUntil(LOAD_FROM_MS)
+        const rest = fleet.totals['account-0'] - fleet.drawn('account-0')
+        const other = fleet.gateways[fleet.indexOf('borrower')]
+        await fleet.settle(other.pageClient.ask(new Map([['account-0', rest]])))
+        const held = fleet.gateways.reduce((sum, { pool }) => sum + pool.withdraw('account-0', Infinity), 0)
+        const { allocator } = fleet.gateways[fleet.indexOf(asker)]
+        expect(await fleet.settle(allocator.reserve('account-0', 3000))).to.equal('exhausted')
+        await fleet.settle(other.pageClient.ask(new Map([['account-0', -held]])))
+        expect(await fleet.settle(allocator.reserve('account-0', 3000))).to.equal('reserved')
       })
     }
   })
--- a/packages/gateway/test/token-fleet.ts
+++ b/packages/gateway/test/token-fleet.ts
@@ -252,13 +252,21 @@
     for (const index of indexes) this.gateways[index].link.isCut = isCut
   }
 
+  /** Plays until the promise has settled. */
+  async settle<Result> (promise: Promise<Result>): Promise<Result> {
+    const progress = { isSettled: false }
+    void promise.finally(() => { progress.isSettled = true })
+    while (!progress.isSettled) await this.clock.runUntil(this.clock.now() + STORE_ANSWER_MS)
+    return await promise
+  }
+
   /** Lets the store take a time to answer, in milliseconds, for all gateways. */
   slowDown (answerMs: number): void {
     for (const { link } of this.gateways) link.answerMs = answerMs
   }
 
-  /** The gateway that holds an account's tokens, its standby, or the one that writes the page, as the first gateway sees it. */
-  indexOf (which: 'holder' | 'standby' | 'writer', account = 'account-0'): number {
+  /** The first gateway that takes itself for an account's holder, its standby or a borrower, or for the one that writes the page. */
+  indexOf (which: 'holder' | 'standby' | 'borrower' | 'writer', account = 'account-0'): number {
     const isWanted = ({ view }: FleetGateway): boolean => which === 'writer' ? view.pageWriter(new Set()) === undefined : view.holders(account).role === which
     return this.gateways.findIndex((gateway) => !gateway.isLeaving && isWanted(gateway))
   }
