Let requests wait for tokens while a way to them is in sight, and answer 402 only by a page read since they came

A request was refused after 300 ms with 8 s left, and 402, which ends a caller's tries, was told by a page up to 2.5 s old. A holder tells the age of the page by which a budget is used up; who asks believes it if the page was read since the request came.

--- a/packages/decisions/src/store-reach.ts
+++ b/packages/decisions/src/store-reach.ts
@@ -58,3 +58,8 @@
     return this.#answeredAt === -Infinity ? ReachState.unknown : ReachState.reached
   }
 }
+
+/** Returns false if routers are cut off from the store, and none is known to reach it. */
+export function isReachable (reaches: readonly ReachState[]): boolean {
+  return !reaches.includes(ReachState.cutOff) || reaches.some((reach) => reach === ReachState.reached || reach === ReachState.regained)
+}
--- a/packages/gateway/src/fleet-view.ts
+++ b/packages/gateway/src/fleet-view.ts
@@ -124,6 +124,13 @@
     return address(fleet.pageWriters.find((name) => !failed.has(address(name) ?? '')) ?? fleet.pageWriters[0])
   }
 
+  /** Returns false if gateways are cut off from the store, and none is known to reach it. */
+  isStoreReachable (): boolean {
+    const now = this.#clock.now()
+    const reaches = [this.#storeReach.state(now), ...this.#live().map(({ sender }) => decisions.storeReach.toReachState(sender.storeReach))]
+    return decisions.storeReach.isReachable(reaches)
+  }
+
   /** Returns the fleet as of a moment ago if it is large; undefined if it is small. */
   #currentLargeFleet (): LargeFleet | undefined {
     const now = this.#clock.now()
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -310,6 +310,7 @@
       logger: this.#logger,
       prepaidTotals: () => this.#prepaidTotals(),
       isFleetKnown: () => this.#fleetView.isFleetKnown(),
+      isStoreReachable: () => this.#fleetView.isStoreReachable(),
       holders: (account) => this.#fleetView.holders(account),
       requestTransfer: async (peerAddress, account, tokens) => await this.#peerTask.requestTransfer(peerAddress, account, tokens),
       hasLateTransfer: (account) => this.#peerTask.hasLateTransfer(account),
--- a/packages/gateway/src/token-acquirer.ts
+++ b/packages/gateway/src/token-acquirer.ts
@@ -140,7 +140,7 @@
       if (received === undefined) this.#unansweredAt.set(holder.peerAddress, this.#options.clock.now())
       else this.#unansweredAt.delete(holder.peerAddress)
       if (received?.usedUp === true && holder === holders[0] && role !== TokenRole.holder) {
-        this.#estimator.recordUsedUp(account)
+        this.#estimator.recordUsedUp(account, received.pageAgeMs > 0 ? received.pageAgeMs : Infinity)
         return
       }
     }
--- a/packages/gateway/src/token-allocator.ts
+++ b/packages/gateway/src/token-allocator.ts
@@ -26,8 +26,27 @@
 /** Draws that a gateway makes before it answers another gateway's request for tokens. The second one covers requests that arrived during the first. */
 const MAXIMUM_DRAWS_PER_TRANSFER = 2
 
-/** Attempts to acquire tokens for one request. */
-const MAXIMUM_ACQUIRE_ATTEMPTS = 3
+/** Attempts to acquire tokens for one request that follow each other without a pause. */
+const IMMEDIATE_ACQUIRE_ATTEMPTS = 3
+
+/** First and longest pause between two later attempts, in milliseconds. It doubles, as all waiting requests ask the same holder. */
+const FIRST_ACQUIRE_PAUSE_MS = 50
+const MAXIMUM_ACQUIRE_PAUSE_MS = 400
+
+/** Largest page age that is told to other gateways, in milliseconds. */
+const MAXIMUM_REPORTED_AGE_MS = 1_000_000
+
+/** How long a request waits for tokens, in milliseconds. */
+export interface Patience {
+  /** While a way to tokens is in sight. */
+  inSightMs: number
+  /** While none is. */
+  hopelessMs: number
+  /** Returns true if nobody waits for the request any more. */
+  isGone: () => boolean
+}
+
+const DEFAULT_PATIENCE: Patience = { inSightMs: acquirers.ACQUIRE_TIMEOUT_MS, hopelessMs: acquirers.ACQUIRE_TIMEOUT_MS, isGone: () => false }
 
 /**
  * Pools last through nine seconds without the store early in a budget, and hold a smaller part of what is unspent as it gets less. What they hold
@@ -82,23 +101,38 @@
     }
   }
 
-  /** Reserves a request's worst case in tokens. Acquires them first if the pool has too few; no attempt starts later than `ACQUIRE_TIMEOUT_MS`. */
-  async reserve (account: string, tokens: number): Promise<ReserveOutcome> {
+  /**
+   * Reserves a request's worst case in tokens. Acquires them first if the pool has too few, for as long as `patience` says. A budget counts as
+   * exhausted only by a token page that was read since the call.
+   */
+  async reserve (account: string, tokens: number, patience = DEFAULT_PATIENCE): Promise<ReserveOutcome> {
     if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
+    const startedAt = this.#options.clock.now()
     this.#acquirer.addWaitingTokens(account, tokens)
     try {
-      const deadline = this.#options.clock.now() + acquirers.ACQUIRE_TIMEOUT_MS
-      for (let attempt = 0; attempt < MAXIMUM_ACQUIRE_ATTEMPTS && this.#options.clock.now() < deadline; attempt++) {
-        if (this.#estimator.isUsedUp(account, tokens) && !this.#acquirer.isBroadcastDue(account)) return ReserveOutcome.exhausted
+      let pausedMs = 0
+      for (let attempt = 1; ; attempt++) {
+        if (this.#estimator.isUsedUp(account, tokens, startedAt) && !this.#acquirer.isBroadcastDue(account)) return ReserveOutcome.exhausted
         await this.#acquirer.acquire(account)
         if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
+        if (this.#estimator.isUsedUp(account, tokens, startedAt)) return ReserveOutcome.exhausted
+        const pauseMs = attempt < IMMEDIATE_ACQUIRE_ATTEMPTS ? 0 : Math.min(MAXIMUM_ACQUIRE_PAUSE_MS, FIRST_ACQUIRE_PAUSE_MS * 2 ** (attempt - IMMEDIATE_ACQUIRE_ATTEMPTS))
+        pausedMs += pauseMs
+        const waitedMs = Math.max(pausedMs, this.#options.clock.now() - startedAt + pauseMs)
+        if (patience.isGone() || waitedMs >= (this.#isWayInSight(account) ? patience.inSightMs : patience.hopelessMs)) return ReserveOutcome.unreachable
+        if (pauseMs > 0) await this.#options.clock.sleep(pauseMs)
+        if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
       }
-      return this.#estimator.isUsedUp(account, tokens) ? ReserveOutcome.exhausted : ReserveOutcome.unreachable
     } finally {
       this.#acquirer.addWaitingTokens(account, -tokens)
     }
   }
 
+  #isWayInSight (account: string): boolean {
+    const { hasLateTransfer, isStoreReachable, page } = this.#options
+    return isStoreReachable() || page.pending(account) > 0 || hasLateTransfer(account)
+  }
+
   /** Ends a reservation: counts the spent tokens and frees the rest. */
   settle (account: string, reservedTokens: number, spentTokens: number): void {
     this.#pool.settle(account, reservedTokens, spentTokens, this.#seconds())
@@ -113,14 +147,15 @@
     const { role, otherHolders } = this.#options.holders(account)
     if (role === TokenRole.peer) {
       const given = this.#acquirer.hasPriorityOver(account, asker) ? 0 : this.#pool.withdraw(account, tokens)
-      return { tokens: given, usedUp: false, freeTokens: this.#pool.freeTokens(account) }
+      return { tokens: given, usedUp: false, freeTokens: this.#pool.freeTokens(account), pageAgeMs: 0 }
     }
     // The holder draws at the same time, and would find here the same tokens once more.
     const isAskedByHolder = role === TokenRole.standby && otherHolders[0]?.peerAddress === asker
     if (this.#pool.freeTokens(account) < tokens && !isAskedByHolder) await this.#drawForTransfer(account, tokens)
     const given = this.#pool.transferOut(account, tokens, this.#seconds())
     const usedUp = role === TokenRole.holder && given < tokens && this.#estimator.isUsedUp(account, tokens - given)
-    return { tokens: given, usedUp, freeTokens: this.#pool.freeTokens(account) }
+    const pageAgeMs = Math.min(Math.ceil(this.#options.page.ageMs(account)), MAXIMUM_REPORTED_AGE_MS) + 1
+    return { tokens: given, usedUp, freeTokens: this.#pool.freeTokens(account), pageAgeMs }
   }
 
   async #drawForTransfer (account: string, tokens: number): Promise<void> {
--- a/packages/gateway/src/token-estimator.ts
+++ b/packages/gateway/src/token-estimator.ts
@@ -15,12 +15,19 @@
 
 const { TokenRole } = decisions.tokenHolders
 
+/** A holder's report that a budget is used up. Times are in milliseconds. */
+interface UsedUpReport {
+  reportedAt: number
+  /** When the page was as the holder knew it. */
+  asOf: number
+}
+
 /** Estimates, from the cached token page and the reports of other gateways, how many tokens an account has left in the whole fleet. */
 export class TokenEstimator {
   readonly #pool: decisions.tokenPool.TokenPool
   readonly #options: types.TokenAllocatorOptions
-  /** Time of the holder's last report that the budget is used up, by account. */
-  readonly #usedUpAt = new Map<string, number>()
+  /** The holder's last report that the budget is used up, by account. */
+  readonly #usedUpReports = new Map<string, UsedUpReport>()
   #isClosing = false
 
   constructor (pool: decisions.tokenPool.TokenPool, options: types.TokenAllocatorOptions) {
@@ -54,18 +61,23 @@
     this.#isClosing = true
   }
 
-  /** Records that the holder reported the account's budget as used up. */
-  recordUsedUp (account: string): void {
-    this.#usedUpAt.set(account, this.#options.clock.now())
+  /** Records that the holder reported the account's budget as used up, by a page of the given age; Infinity if it did not say. */
+  recordUsedUp (account: string, pageAgeMs: number): void {
+    const now = this.#options.clock.now()
+    this.#usedUpReports.set(account, { reportedAt: now, asOf: now - pageAgeMs })
   }
 
   /**
    * Returns true if a request for the given tokens is known not to fit the budget: by a recent report of the holder, or by
-   * a recent token page together with the free tokens of all gateways.
+   * a recent token page together with the free tokens of all gateways. With `since`, only a page that was read at that time or later counts: tokens
+   * may have come back to it before.
    */
-  isUsedUp (account: string, tokens: number): boolean {
-    if (this.#options.clock.now() - (this.#usedUpAt.get(account) ?? -Infinity) < EXHAUSTION_REPORT_VALIDITY_MS) return this.#pool.freeTokens(account) < tokens
-    if (this.#options.page.ageMs(account) > EXHAUSTION_PROOF_MAXIMUM_AGE_MS) return false
+  isUsedUp (account: string, tokens: number, since = -Infinity): boolean {
+    const now = this.#options.clock.now()
+    const report = this.#usedUpReports.get(account)
+    if (report !== undefined && now - report.reportedAt < EXHAUSTION_REPORT_VALIDITY_MS && report.asOf >= since) return this.#pool.freeTokens(account) < tokens
+    const pageAgeMs = this.#options.page.ageMs(account)
+    if (pageAgeMs > EXHAUSTION_PROOF_MAXIMUM_AGE_MS || now - pageAgeMs < since) return false
     return this.#options.page.remaining(account) + this.#pool.freeTokens(account) + this.freeElsewhere(account) < tokens
   }
 
--- a/packages/gateway/src/token-types.ts
+++ b/packages/gateway/src/token-types.ts
@@ -35,6 +35,8 @@
   isFleetKnown: () => boolean
   /** Returns the gateways that draw the account's tokens from the token page. */
   holders: (account: string) => AccountHolders
+  /** Returns false if gateways are cut off from the store, and none is known to reach it. */
+  isStoreReachable: () => boolean
   /** Requests tokens from another gateway. Resolves to undefined if it doesn't answer in time. */
   requestTransfer: (peerAddress: string, account: string, tokens: number) => Promise<routers.gatewayMessages.TokenTransferReply | undefined>
   /** Returns true if tokens may still come from a transfer that took too long. */
--- a/packages/gateway/test/budget-load.test.ts
+++ b/packages/gateway/test/budget-load.test.ts
@@ -146,6 +146,7 @@
       logger,
       prepaidTotals: totals,
       isFleetKnown: () => true,
+      isStoreReachable: () => true,
       holders: (account) => this.#accountHolders(account, index),
       requestTransfer: async (peerAddress, account, tokens) => await this.#gateways[Number(peerAddress)].task.handleTransfer({ transferId: '', account, tokens, asker: String(index) }),
       hasLateTransfer: () => false,
--- a/packages/gateway/test/token-page-conflicts.test.ts
+++ b/packages/gateway/test/token-page-conflicts.test.ts
@@ -180,6 +180,7 @@
         }
       }),
       isFleetKnown: () => true,
+      isStoreReachable: () => true,
       holders: (account) => this.#holders(account, index),
       requestTransfer: async (peerAddress, account, tokens) => {
         await this.clock.sleep(GATEWAY_ANSWER_MS)
--- a/packages/routers/src/gateway-messages.ts
+++ b/packages/routers/src/gateway-messages.ts
@@ -87,6 +87,8 @@
   usedUp: boolean
   /** Free tokens that the replying gateway still holds. */
   freeTokens: number
+  /** One more than the time since that page was read, in milliseconds; 0 if the gateway doesn't say. */
+  pageAgeMs: number
 }
 
 /** Tokens of one client account. */
