--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -25,6 +25,7 @@
   readonly #readDelaySeconds: metrics.Histogram
   readonly #connectionDrops: metrics.Counter
   readonly #permits: metrics.Counter
+  readonly #budgetRefusals: metrics.Counter
 
   constructor (source: GaugeSource) {
     const registers = [this.#server.registry]
@@ -35,6 +36,7 @@
     this.#readDelaySeconds = new metrics.Histogram({ name: 'acaciaweir_read_delay_seconds', help: 'Longest time for which a request can have waited to be read', buckets, registers })
     this.#connectionDrops = new metrics.Counter({ name: 'acaciaweir_connection_drops_total', help: 'Times that the connections waiting to be accepted were dropped', registers })
     this.#permits = new metrics.Counter({ name: 'acaciaweir_target_permits_total', help: 'Permits asked for, for targets that name a limit', labelNames: ['outcome'], registers })
+    this.#budgetRefusals = new metrics.Counter({ name: 'acaciaweir_budget_refusals_total', help: 'Requests refused for their prepaid budget, by whether it had tokens left as far as known', labelNames: ['outcome', 'budget_left'], registers })
     this.#server.addGauge('acaciaweir_limited_targets', 'Targets that name a limit', source.limitedTargets)
     this.#server.addGauge('acaciaweir_requests_in_progress', 'Requests in progress', source.requestsInProgress)
     this.#server.addGauge('acaciaweir_agreement_version', 'Version of the agreement in force', source.agreementVersion)
@@ -66,6 +68,10 @@
     this.#permits.inc({ outcome })
   }
 
+  countBudgetRefusal (outcome: string, isBudgetLeft: boolean): void {
+    this.#budgetRefusals.inc({ outcome, budget_left: String(isBudgetLeft) })
+  }
+
   listen (port: number, address: string): Promise<number> {
     return this.#server.listen(port, address)
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -387,6 +387,7 @@
       announce,
       findService: (name) => this.#configurationWatch.routeTable?.service(name),
       gatewayCount: () => this.#fleetView.gatewayCount(),
+      onBudgetRefusal: (outcome, isBudgetLeft) => { this.#metrics.countBudgetRefusal(outcome, isBudgetLeft) },
       onFirstEvent: (milliseconds) => { this.#metrics.observeFirstEvent(milliseconds / 1000) }
     })
     return new callerServers.CallerServer({
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -63,6 +63,8 @@
   /** Number of live gateways, including this one. */
   gatewayCount: () => number
   onFirstEvent: (milliseconds: number) => void
+  /** Called with each request that the budget refuses. `isBudgetLeft` is true if its tokens are there as far as this gateway knows. */
+  onBudgetRefusal: (outcome: tokenAllocators.ReserveOutcome, isBudgetLeft: boolean) => void
 }
 
 /** Outcome of sending a request to one target. */
@@ -130,6 +132,7 @@
     }
     const outcome = await this.#options.tokens.reserve(call.account?.name ?? '', worstCaseTokens, patience)
     if (outcome === tokenAllocators.ReserveOutcome.reserved) return undefined
+    this.#options.onBudgetRefusal(outcome, this.#options.tokens.isBudgetLeft(call.account?.name ?? '', worstCaseTokens))
     call.budget = { wanted: worstCaseTokens, ...this.#options.tokens.reservationInputs(call.account?.name ?? '') }
     if (outcome === tokenAllocators.ReserveOutcome.exhausted) {
       answers.sendRefusal(call.response, { status: 402, reason: 'the request does not fit into the prepaid budget' })
--- a/packages/gateway/src/token-acquirer.ts
+++ b/packages/gateway/src/token-acquirer.ts
@@ -31,6 +31,19 @@
 /** Least time between two rounds in which all other gateways are asked for an account's tokens, in milliseconds. */
 const BROADCAST_INTERVAL_MS = 300
 
+/** Answers of other gateways that are remembered of each account, for the log. */
+const MAXIMUM_REMEMBERED_ANSWERS = 4
+
+/** What another gateway said when it was asked for an account's tokens. */
+interface AskedGateway {
+  peer: string
+  /** When it was asked, in milliseconds. */
+  at: number
+  /** Tokens that it gave; undefined if it did not answer in time. */
+  given: number | undefined
+  usedUp: boolean
+}
+
 /** Acquires tokens for waiting requests: from other gateways, else from the token page. */
 export class TokenAcquirer {
   readonly #pool: decisions.tokenPool.TokenPool
@@ -46,6 +59,8 @@
   readonly #insufficientDrawAt = new Map<string, number>()
   /** Draws in progress, by account. */
   readonly #draws = new Map<string, Promise<unknown>>()
+  /** What the gateways said that were asked last, by account. */
+  readonly #asked = new Map<string, AskedGateway[]>()
   /** Time at which a gateway last failed to answer in time, by peer address. */
   readonly #unansweredAt = new Map<string, number>()
 
@@ -80,6 +95,15 @@
     return decisions.hashing.rendezvousOrder([selfAddress, asker], account, (address) => address)[0] === selfAddress
   }
 
+  /** Returns which gateways were asked last for an account's tokens, how long ago, and what they said, for the log. */
+  lastAnswers (account: string): Array<Record<string, unknown>> {
+    return (this.#asked.get(account) ?? []).map(({ peer, at, given, usedUp }) => ({ peer, agoMs: Math.round(this.#options.clock.now() - at), given, usedUp }))
+  }
+
+  #recordAnswer (account: string, asked: AskedGateway): void {
+    this.#asked.set(account, [...(this.#asked.get(account) ?? []), asked].slice(-MAXIMUM_REMEMBERED_ANSWERS))
+  }
+
   /** Tries once to acquire tokens, and adds them to the pool. Concurrent requests for the same account share one acquisition. */
   async acquire (account: string): Promise<void> {
     let acquisition = this.#acquisitions.get(account)
@@ -135,8 +159,10 @@
       const expectedSpending = this.#pool.expectedSpending(account, PREFETCH_SECONDS, this.#seconds())
       const isPrefetchUseful = role !== TokenRole.holder && expectedSpending > deficit * MINIMUM_PREFETCH_RATIO && !this.#options.hasLateTransfer(account)
       const requested = isPrefetchUseful ? deficit + expectedSpending : deficit
+      const at = this.#options.clock.now()
       const received = await this.#options.requestTransfer(holder.peerAddress, account, requested)
       this.#pool.add(account, received?.tokens ?? 0)
+      this.#recordAnswer(account, { peer: holder.peerAddress, at, given: received?.tokens, usedUp: received?.usedUp === true })
       if (received === undefined) this.#unansweredAt.set(holder.peerAddress, this.#options.clock.now())
       else this.#unansweredAt.delete(holder.peerAddress)
       if (received?.usedUp === true && holder === holders[0] && role !== TokenRole.holder) {
--- a/packages/gateway/src/token-allocator.ts
+++ b/packages/gateway/src/token-allocator.ts
@@ -97,10 +97,19 @@
       free: this.#pool.freeTokens(account),
       elsewhere: this.#estimator.freeElsewhere(account),
       remaining: this.#options.page.remaining(account),
-      pageAgeMs: Math.round(this.#options.page.ageMs(account))
+      pageAgeMs: Math.round(this.#options.page.ageMs(account)),
+      pending: this.#options.page.pending(account),
+      role: this.#options.holders(account).role,
+      isStoreReachable: this.#options.isStoreReachable(),
+      asked: this.#acquirer.lastAnswers(account)
     }
   }
 
+  /** Returns true if a request's tokens are on the page or free here, as far as this gateway knows. */
+  isBudgetLeft (account: string, tokens: number): boolean {
+    return this.#options.page.remaining(account) + this.#pool.freeTokens(account) >= tokens
+  }
+
   /**
    * Reserves a request's worst case in tokens. Acquires them first if the pool has too few, for as long as `patience` says. A budget counts as
    * exhausted only by a token page that was read since the call.
