--- a/packages/gateway/src/token-allocator.ts
+++ b/packages/gateway/src/token-allocator.ts
@@ -125,7 +125,7 @@
         await this.#acquirer.acquire(account)
         if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
         if (this.#estimator.isUsedUp(account, tokens, startedAt)) return ReserveOutcome.exhausted
-        const pauseMs = this.#pauseMs(attempt, this.#estimator.isUsedUp(account, tokens))
+        const pauseMs = attempt < IMMEDIATE_ACQUIRE_ATTEMPTS ? 0 : Math.min(MAXIMUM_ACQUIRE_PAUSE_MS, FIRST_ACQUIRE_PAUSE_MS * 2 ** (attempt - IMMEDIATE_ACQUIRE_ATTEMPTS))
         pausedMs += pauseMs
         const waitedMs = Math.max(pausedMs, this.#options.clock.now() - startedAt + pauseMs)
         if (patience.isGone() || waitedMs >= (this.#isWayInSight(account) ? patience.inSightMs : patience.hopelessMs)) return ReserveOutcome.unreachable
@@ -137,13 +137,6 @@
     }
   }
 
-  /** Returns the pause after an attempt. It stays short where only a newer page is missing to tell the caller that the budget is used up. */
-  #pauseMs (attempt: number, isLikelyUsedUp: boolean): number {
-    if (isLikelyUsedUp) return FIRST_ACQUIRE_PAUSE_MS
-    if (attempt < IMMEDIATE_ACQUIRE_ATTEMPTS) return 0
-    return Math.min(MAXIMUM_ACQUIRE_PAUSE_MS, FIRST_ACQUIRE_PAUSE_MS * 2 ** (attempt - IMMEDIATE_ACQUIRE_ATTEMPTS))
-  }
-
   #isWayInSight (account: string): boolean {
     const { hasLateTransfer, isStoreReachable, page } = this.#options
     return isStoreReachable() || page.pending(account) > 0 || hasLateTransfer(account)
