Don't tell that a budget is used up while tokens of it are on their way

Requests get 503 meanwhile, and a holder doesn't report the budget as used up. The case in token-allocator.test.ts was red before (exhausted for unreachable).

--- a/packages/gateway/src/token-allocator.ts
+++ b/packages/gateway/src/token-allocator.ts
@@ -121,10 +121,10 @@
     try {
       let pausedMs = 0
       for (let attempt = 1; ; attempt++) {
-        if (this.#estimator.isUsedUp(account, tokens, startedAt) && !this.#acquirer.isBroadcastDue(account)) return ReserveOutcome.exhausted
+        if (this.#estimator.isUsedUpForGood(account, tokens, startedAt) && !this.#acquirer.isBroadcastDue(account)) return ReserveOutcome.exhausted
         await this.#acquirer.acquire(account)
         if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
-        if (this.#estimator.isUsedUp(account, tokens, startedAt)) return ReserveOutcome.exhausted
+        if (this.#estimator.isUsedUpForGood(account, tokens, startedAt)) return ReserveOutcome.exhausted
         const pauseMs = attempt < IMMEDIATE_ACQUIRE_ATTEMPTS ? 0 : Math.min(MAXIMUM_ACQUIRE_PAUSE_MS, FIRST_ACQUIRE_PAUSE_MS * 2 ** (attempt - IMMEDIATE_ACQUIRE_ATTEMPTS))
         pausedMs += pauseMs
         const waitedMs = Math.max(pausedMs, this.#options.clock.now() - startedAt + pauseMs)
@@ -162,7 +162,7 @@
     const isAskedByHolder = role === TokenRole.standby && otherHolders[0]?.peerAddress === asker
     if (this.#pool.freeTokens(account) < tokens && !isAskedByHolder) await this.#drawForTransfer(account, tokens)
     const given = this.#pool.transferOut(account, tokens, this.#seconds())
-    const usedUp = role === TokenRole.holder && given < tokens && this.#estimator.isUsedUp(account, tokens - given)
+    const usedUp = role === TokenRole.holder && given < tokens && this.#estimator.isUsedUpForGood(account, tokens - given)
     const pageAgeMs = Math.min(Math.ceil(this.#options.page.ageMs(account)), MAXIMUM_REPORTED_AGE_MS) + 1
     return { tokens: given, usedUp, freeTokens: this.#pool.freeTokens(account), pageAgeMs }
   }
--- a/packages/gateway/src/token-estimator.ts
+++ b/packages/gateway/src/token-estimator.ts
@@ -81,6 +81,11 @@
     return this.#options.page.remaining(account) + this.#pool.freeTokens(account) + this.freeElsewhere(account) < tokens
   }
 
+  /** Returns true if the budget is known to be used up, as by `isUsedUp`, and no tokens of it are on their way to this gateway. */
+  isUsedUpForGood (account: string, tokens: number, since = -Infinity): boolean {
+    return this.#options.page.pending(account) === 0 && !this.#options.hasLateTransfer(account) && this.isUsedUp(account, tokens, since)
+  }
+
   /** Free tokens at the other gateways, by their last reports. */
   freeElsewhere (account: string): number {
     return this.#options.holders(account).otherHolders.reduce((sum, holder) => sum + (holder.freeTokens ?? 0), 0)
--- a/packages/gateway/test/token-allocator.test.ts
+++ b/packages/gateway/test/token-allocator.test.ts
@@ -75,6 +75,21 @@
     expect(gateway.drawn).to.deep.equal({})
   })
 
+  const lastTokens: Array<{ name: string, hasLateTransfer: boolean, outcome: string }> = [
+    { name: 'tells that a budget is used up when all of it is drawn', hasLateTransfer: false, outcome: 'exhausted' },
+    { name: 'does not tell that a budget is used up while tokens of it may still arrive', hasLateTransfer: true, outcome: 'unreachable' }
+  ]
+  for (const { name, hasLateTransfer, outcome } of lastTokens) {
+    it(name, async () => {
+      const gateway = new LargeFleetGateway(0)
+      gateway.hasLateTransfer = hasLateTransfer
+      expect(await gateway.task.reserve('drawn', TOTAL)).to.equal('reserved')
+      expect(await gateway.task.reserve('drawn', 1000)).to.equal(outcome)
+      const { usedUp } = await gateway.task.handleTransfer({ transferId: '', account: 'drawn', tokens: 1000, asker: HOLDER })
+      expect(usedUp).to.equal(!hasLateTransfer)
+    })
+  }
+
   const bursts: Array<{ name: string, requests: number, held: number, reserved: number }> = [
     { name: 'borrows enough for all requests that wait at the same time', requests: 8, held: 10_000, reserved: 8 },
     { name: 'reserves for as many requests as the holder has tokens for', requests: 8, held: 3500, reserved: 3 }
