Refuse a used-up budget at once again, and wait only for tokens that are under way

Cause: a 402 asked for a page read since the request came, and requests were held for half of their time while any gateway reached the store. Hopeless requests were given up late. Change: a page of 600 ms tells again that a budget is used up, also a holder's of an earlier release, which tells no age and counts from when it was asked. An older page is read once, within 300 ms. Longer than that, a request only waits, for a draw or transfer that is late, an eighth of its objective at most, and asks nobody again. A small fleet makes three attempts, as before. The standby draws for a holder that has not told that it reaches the store.

--- a/packages/gateway/src/fleet-view.ts
+++ b/packages/gateway/src/fleet-view.ts
@@ -164,12 +164,17 @@
   }
 }
 
+function reachesStore ({ storeReach }: routers.gatewayMessages.GatewayMember): boolean {
+  const reach = decisions.storeReach.toReachState(storeReach)
+  return reach === decisions.storeReach.ReachState.reached || reach === decisions.storeReach.ReachState.regained
+}
+
 function holdersAmong ({ drawingGateways, heartbeats, holders }: LargeFleet, account: string, self: string): tokenTypes.AccountHolders {
   let known = holders.get(account)
   if (known === undefined) {
     const { role, othersToAsk } = decisions.tokenHolders.assignTokenRole(account, self, drawingGateways)
     const others = othersToAsk.map((name) => heartbeats.get(name)).filter((heartbeat) => heartbeat !== undefined)
-    known = { role, otherHolders: others.map(({ sender }) => ({ peerAddress: sender.peerAddress, freeTokens: undefined, spending: undefined })) }
+    known = { role, otherHolders: others.map(({ sender }) => ({ peerAddress: sender.peerAddress, freeTokens: undefined, spending: undefined, reachesStore: reachesStore(sender) })) }
     holders.set(account, known)
   }
   return known
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -23,11 +23,8 @@
 /** Retry-after delay where the prepaid budget is out of reach, in milliseconds. */
 const BUDGET_RETRY_AFTER_MS = 1000
 
-/** Share of the remaining time for which a request waits for tokens while a way to them is in sight. The rest is for its answer, or for a try at another gateway. */
-const BUDGET_WAIT_SHARE = 0.5
-
-/** Share of the route's latency objective for which a request waits for tokens while no way to them is in sight. */
-const HOPELESS_BUDGET_WAIT_SHARE = 0.125
+/** Share of the route's latency objective for which a request waits for tokens that are under way. */
+const BUDGET_WAIT_SHARE = 0.125
 
 /** Largest part by which the retry-after delay of a refusal is lengthened at random where all targets rest. Callers would otherwise return in the same moment. */
 const REST_RETRY_JITTER_SHARE = 0.25
@@ -126,8 +123,7 @@
   /** Reserves tokens. Where the budget refuses, answers the caller and returns the outcome for the log. */
   async #reserve (call: calls.Call, worstCaseTokens: number): Promise<string | undefined> {
     const patience: tokenAllocators.Patience = {
-      inSightMs: (call.deadlineAt - this.#options.clock.now()) * BUDGET_WAIT_SHARE,
-      hopelessMs: call.route.objectiveMs * HOPELESS_BUDGET_WAIT_SHARE,
+      underWayMs: call.route.objectiveMs * BUDGET_WAIT_SHARE,
       isGone: () => call.abortReason !== undefined
     }
     const outcome = await this.#options.tokens.reserve(call.account?.name ?? '', worstCaseTokens, patience)
--- a/packages/gateway/src/token-acquirer.ts
+++ b/packages/gateway/src/token-acquirer.ts
@@ -1,5 +1,5 @@
 import * as decisions from '@acaciaweir/decisions'
-import type * as estimators from './token-estimator.js'
+import * as estimators from './token-estimator.js'
 import type * as types from './token-types.js'
 
 const { TokenRole } = decisions.tokenHolders
@@ -137,7 +137,8 @@
     let draw = this.#draws.get(account)
     if (draw === undefined) {
       const sinceInsufficientMs = clock.now() - (this.#insufficientDrawAt.get(account) ?? -Infinity)
-      const isLikelyInsufficient = sinceInsufficientMs < INSUFFICIENT_DRAW_BACKOFF_MS && page.remaining(account) < deficit
+      // A request that finds only an older page needs a new one to be told that the budget is used up.
+      const isLikelyInsufficient = sinceInsufficientMs < INSUFFICIENT_DRAW_BACKOFF_MS && page.remaining(account) < deficit && page.ageMs(account) <= estimators.EARLIER_PAGE_MAXIMUM_AGE_MS
       if (page.isBackingOff() || isLikelyInsufficient) return
       const wanted = Math.max(deficit, this.#estimator.desiredLevel(account) - page.pending(account))
       draw = page.draw(new Map([[account, wanted]]), new Map([[account, deficit]])).finally(() => { this.#draws.delete(account) })
@@ -166,7 +167,8 @@
       if (received === undefined) this.#unansweredAt.set(holder.peerAddress, this.#options.clock.now())
       else this.#unansweredAt.delete(holder.peerAddress)
       if (received?.usedUp === true && holder === holders[0] && role !== TokenRole.holder) {
-        this.#estimator.recordUsedUp(account, received.pageAgeMs > 0 ? received.pageAgeMs : Infinity)
+        // A gateway of an earlier release tells no age. Its page counts as read when it was asked.
+        this.#estimator.recordUsedUp(account, at - Math.max(0, received.pageAgeMs - 1))
         return
       }
     }
--- a/packages/gateway/src/token-allocator.ts
+++ b/packages/gateway/src/token-allocator.ts
@@ -26,27 +26,24 @@
 /** Draws that a gateway makes before it answers another gateway's request for tokens. The second one covers requests that arrived during the first. */
 const MAXIMUM_DRAWS_PER_TRANSFER = 2
 
-/** Attempts to acquire tokens for one request that follow each other without a pause. */
-const IMMEDIATE_ACQUIRE_ATTEMPTS = 3
+/** Attempts to acquire tokens for one request, also where no way to them is in sight. */
+const MINIMUM_ACQUIRE_ATTEMPTS = 3
 
-/** First and longest pause between two later attempts, in milliseconds. It doubles, as all waiting requests ask the same holder. */
-const FIRST_ACQUIRE_PAUSE_MS = 50
-const MAXIMUM_ACQUIRE_PAUSE_MS = 400
+/** Pause between two looks for tokens, in milliseconds. */
+const ACQUIRE_PAUSE_MS = 50
 
 /** Largest page age that is told to other gateways, in milliseconds. */
 const MAXIMUM_REPORTED_AGE_MS = 1_000_000
 
-/** How long a request waits for tokens, in milliseconds. */
+/** How long a request waits for tokens beyond `ACQUIRE_TIMEOUT_MS`. */
 export interface Patience {
-  /** While a way to tokens is in sight. */
-  inSightMs: number
-  /** While none is. */
-  hopelessMs: number
+  /** Longest time for which it waits for tokens that are under way, in milliseconds. */
+  underWayMs: number
   /** Returns true if nobody waits for the request any more. */
   isGone: () => boolean
 }
 
-const DEFAULT_PATIENCE: Patience = { inSightMs: acquirers.ACQUIRE_TIMEOUT_MS, hopelessMs: acquirers.ACQUIRE_TIMEOUT_MS, isGone: () => false }
+const DEFAULT_PATIENCE: Patience = { underWayMs: 0, isGone: () => false }
 
 /**
  * Pools last through nine seconds without the store early in a budget, and hold a smaller part of what is unspent as it gets less. What they hold
@@ -111,35 +108,54 @@
   }
 
   /**
-   * Reserves a request's worst case in tokens. Acquires them first if the pool has too few, for as long as `patience` says. A budget counts as
-   * exhausted only by a token page that was read since the call.
+   * Reserves a request's worst case in tokens. Acquires them first if the pool has too few; no attempt starts later than `ACQUIRE_TIMEOUT_MS`.
+   * Then waits only for tokens that are under way, for as long as `patience` says.
    */
   async reserve (account: string, tokens: number, patience = DEFAULT_PATIENCE): Promise<ReserveOutcome> {
     if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
-    const startedAt = this.#options.clock.now()
+    const { clock } = this.#options
+    const startedAt = clock.now()
+    const deadline = startedAt + acquirers.ACQUIRE_TIMEOUT_MS
     this.#acquirer.addWaitingTokens(account, tokens)
     try {
+      // Pauses are counted as well, as a clock may stand still.
       let pausedMs = 0
       for (let attempt = 1; ; attempt++) {
         if (this.#estimator.isUsedUpForGood(account, tokens, startedAt) && !this.#acquirer.isBroadcastDue(account)) return ReserveOutcome.exhausted
         await this.#acquirer.acquire(account)
         if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
         if (this.#estimator.isUsedUpForGood(account, tokens, startedAt)) return ReserveOutcome.exhausted
-        const pauseMs = attempt < IMMEDIATE_ACQUIRE_ATTEMPTS ? 0 : Math.min(MAXIMUM_ACQUIRE_PAUSE_MS, FIRST_ACQUIRE_PAUSE_MS * 2 ** (attempt - IMMEDIATE_ACQUIRE_ATTEMPTS))
+        const pauseMs = attempt < MINIMUM_ACQUIRE_ATTEMPTS ? 0 : ACQUIRE_PAUSE_MS
         pausedMs += pauseMs
-        const waitedMs = Math.max(pausedMs, this.#options.clock.now() - startedAt + pauseMs)
-        if (patience.isGone() || waitedMs >= (this.#isWayInSight(account) ? patience.inSightMs : patience.hopelessMs)) return ReserveOutcome.unreachable
-        if (pauseMs > 0) await this.#options.clock.sleep(pauseMs)
+        const isTimeOver = clock.now() + pauseMs >= deadline || pausedMs >= acquirers.ACQUIRE_TIMEOUT_MS
+        if (patience.isGone() || isTimeOver || (pauseMs > 0 && !this.#isWayInSight(account))) break
+        if (pauseMs > 0) await clock.sleep(pauseMs)
         if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
       }
+      return await this.#awaitTokens(account, tokens, startedAt, patience)
     } finally {
       this.#acquirer.addWaitingTokens(account, -tokens)
     }
   }
 
+  /** Waits for tokens that are under way, without asking for more, and reserves them. */
+  async #awaitTokens (account: string, tokens: number, startedAt: number, patience: Patience): Promise<ReserveOutcome> {
+    const { clock } = this.#options
+    const deadline = startedAt + acquirers.ACQUIRE_TIMEOUT_MS + patience.underWayMs
+    while (patience.underWayMs > 0 && !patience.isGone() && clock.now() < deadline && this.#isUnderWay(account, tokens)) {
+      await clock.sleep(Math.min(ACQUIRE_PAUSE_MS, deadline - clock.now()))
+      if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
+    }
+    return this.#estimator.isUsedUpForGood(account, tokens, startedAt) ? ReserveOutcome.exhausted : ReserveOutcome.unreachable
+  }
+
+  #isUnderWay (account: string, tokens: number): boolean {
+    return this.#options.page.pending(account) >= tokens || this.#options.hasLateTransfer(account)
+  }
+
+  /** In a small fleet each gateway has only its own way to the store, which the attempts have tried. */
   #isWayInSight (account: string): boolean {
-    const { hasLateTransfer, isStoreReachable, page } = this.#options
-    return isStoreReachable() || page.pending(account) > 0 || hasLateTransfer(account)
+    return this.#options.holders(account).role !== TokenRole.peer && this.#options.isStoreReachable()
   }
 
   /** Ends a reservation: counts the spent tokens and frees the rest. */
@@ -149,8 +165,8 @@
 
   /**
    * Takes free tokens out of the pool for another gateway, up to the requested number. In a small fleet, a gateway that needs the tokens
-   * itself and has priority gives none. In a large one it draws what it lacks first, whatever its role, except for the holder: the asking gateway
-   * may know the fleet better.
+   * itself and has priority gives none. In a large one it draws what it lacks first, whatever its role, except for a holder that reaches the store:
+   * the asking gateway may know the fleet better.
    */
   async handleTransfer ({ account, tokens, asker }: routers.gatewayMessages.TokenTransferRequest): Promise<routers.gatewayMessages.TokenTransferReply> {
     const { role, otherHolders } = this.#options.holders(account)
@@ -158,8 +174,8 @@
       const given = this.#acquirer.hasPriorityOver(account, asker) ? 0 : this.#pool.withdraw(account, tokens)
       return { tokens: given, usedUp: false, freeTokens: this.#pool.freeTokens(account), pageAgeMs: 0 }
     }
-    // The holder draws at the same time, and would find here the same tokens once more.
-    const isAskedByHolder = role === TokenRole.standby && otherHolders[0]?.peerAddress === asker
+    // A holder that reaches the store draws at the same time, and would find here the same tokens once more.
+    const isAskedByHolder = role === TokenRole.standby && otherHolders[0]?.peerAddress === asker && otherHolders[0].reachesStore === true
     if (this.#pool.freeTokens(account) < tokens && !isAskedByHolder) await this.#drawForTransfer(account, tokens)
     const given = this.#pool.transferOut(account, tokens, this.#seconds())
     const usedUp = role === TokenRole.holder && given < tokens && this.#estimator.isUsedUpForGood(account, tokens - given)
--- a/packages/gateway/src/token-estimator.ts
+++ b/packages/gateway/src/token-estimator.ts
@@ -10,6 +10,9 @@
 /** Age up to which the cached token page proves that a budget is used up, in milliseconds. */
 const EXHAUSTION_PROOF_MAXIMUM_AGE_MS = 2500
 
+/** Age up to which a page proves it to a request that came after it was read, in milliseconds. */
+export const EARLIER_PAGE_MAXIMUM_AGE_MS = 600
+
 /** Time for which the holder's report that a budget is used up stays valid, in milliseconds. */
 const EXHAUSTION_REPORT_VALIDITY_MS = 300
 
@@ -61,23 +64,23 @@
     this.#isClosing = true
   }
 
-  /** Records that the holder reported the account's budget as used up, by a page of the given age; Infinity if it did not say. */
-  recordUsedUp (account: string, pageAgeMs: number): void {
-    const now = this.#options.clock.now()
-    this.#usedUpReports.set(account, { reportedAt: now, asOf: now - pageAgeMs })
+  /** Records that the holder reported the account's budget as used up, by a page that was read at `asOf` or later. */
+  recordUsedUp (account: string, asOf: number): void {
+    this.#usedUpReports.set(account, { reportedAt: this.#options.clock.now(), asOf })
   }
 
   /**
    * Returns true if a request for the given tokens is known not to fit the budget: by a recent report of the holder, or by
-   * a recent token page together with the free tokens of all gateways. With `since`, only a page that was read at that time or later counts: tokens
-   * may have come back to it before.
+   * a recent token page together with the free tokens of all gateways. With `since`, only a page that was read at that time or later counts, or a moment
+   * ago: tokens may have come back to an older one.
    */
   isUsedUp (account: string, tokens: number, since = -Infinity): boolean {
     const now = this.#options.clock.now()
+    const oldestAsOf = Math.min(since, now - EARLIER_PAGE_MAXIMUM_AGE_MS)
     const report = this.#usedUpReports.get(account)
-    if (report !== undefined && now - report.reportedAt < EXHAUSTION_REPORT_VALIDITY_MS && report.asOf >= since) return this.#pool.freeTokens(account) < tokens
+    if (report !== undefined && now - report.reportedAt < EXHAUSTION_REPORT_VALIDITY_MS && report.asOf >= oldestAsOf) return this.#pool.freeTokens(account) < tokens
     const pageAgeMs = this.#options.page.ageMs(account)
-    if (pageAgeMs > EXHAUSTION_PROOF_MAXIMUM_AGE_MS || now - pageAgeMs < since) return false
+    if (pageAgeMs > EXHAUSTION_PROOF_MAXIMUM_AGE_MS || now - pageAgeMs < oldestAsOf) return false
     return this.#options.page.remaining(account) + this.#pool.freeTokens(account) + this.freeElsewhere(account) < tokens
   }
 
--- a/packages/gateway/src/token-page-client.ts
+++ b/packages/gateway/src/token-page-client.ts
@@ -17,7 +17,7 @@
  * Age up to which the cached page answers, without a store call, that it has no tokens left for an account, in milliseconds.
  * Tokens that other gateways return are noticed up to this much later.
  */
-const NO_EFFECT_MAXIMUM_PAGE_AGE_MS = 200
+const NO_EFFECT_MAXIMUM_PAGE_AGE_MS = 600
 
 /**
  * Longest time after the store came back from a backup for which draws wait until other gateways have entered what they know in the page, in
--- a/packages/gateway/src/token-types.ts
+++ b/packages/gateway/src/token-types.ts
@@ -11,6 +11,8 @@
   freeTokens: number | undefined
   /** Tokens a second that it spends of the account, by its last heartbeat. Undefined in a large fleet. */
   spending: number | undefined
+  /** True if it told in a large fleet that it reaches the store. */
+  reachesStore?: boolean
 }
 
 /** This gateway's role for an account, and the other gateways that hold the account's tokens. */
