Wait before the page is written in the writer's place in a later outage too

Cause: a page writer that had failed once was remembered for ever, so its first failure in a later outage didn't count as the first, and all holders wrote at once. Change: it is forgotten after a minute. The new case was red before.

--- a/packages/gateway/src/token-page-access.ts
+++ b/packages/gateway/src/token-page-access.ts
@@ -23,6 +23,9 @@
 const URGENT_DRAW_WAIT_MS = 150
 const AHEAD_DRAW_WAIT_MS = 1000
 
+/** Time after which a page writer's next failure counts as the first one of another outage, in milliseconds. */
+const FAILURE_MEMORY_MS = 60_000
+
 /** Gateways that are asked one after the other to write the page for one draw, before this gateway writes it itself. */
 const MAXIMUM_ASKED_WRITERS = 2
 
@@ -197,9 +200,14 @@
   }
 
   #pageWriter (): string | undefined {
+    this.#forgetEndedFailures()
     return this.#options.pageWriter(new Set([...this.#failedWriters.keys()].filter((writer) => this.#isFailed(writer))))
   }
 
+  #forgetEndedFailures (): void {
+    for (const [writer, until] of this.#failedWriters) if (this.#options.clock.now() - until > FAILURE_MEMORY_MS) this.#failedWriters.delete(writer)
+  }
+
   #isFailed (writer: string): boolean {
     return this.#options.clock.now() < (this.#failedWriters.get(writer) ?? -Infinity)
   }
--- a/packages/gateway/test/token-page-access.test.ts
+++ b/packages/gateway/test/token-page-access.test.ts
@@ -102,6 +102,16 @@
     })
   }
 
+  it('waits before it writes the page in place of the page writer, in a later outage as in the first', async () => {
+    const fleet = new DrawingFleet(2)
+    fleet.writerState = WriterState.cutOff
+    for (let outage = 0; outage < 2; outage++) {
+      expect(await fleet.settle(fleet.gateways[1].draw(depot(100)))).to.deep.equal(['unreachable'])
+      await fleet.clock.runUntil(fleet.clock.now() + 3_600_000)
+    }
+    expect(fleet.drawn).to.equal(0)
+  })
+
   it('does not ask a silent page writer again at once', async () => {
     const fleet = new DrawingFleet(2)
     fleet.writerState = WriterState.silent
