--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -29,6 +29,7 @@
   readonly #connectionDrops: metrics.Counter
   readonly #permits: metrics.Counter
   readonly #choices: metrics.Counter
+  readonly #budgetRefusals: metrics.Counter
 
   constructor (source: GaugeSource) {
     const registers = [this.#server.registry]
@@ -42,6 +43,7 @@
     this.#choices = new metrics.Counter({ name: 'acaciaweir_target_choices_total', help: 'Choices of a target by reason', labelNames: ['reason'], registers })
     this.#server.addLabelledGauge('acaciaweir_target_requests', 'Requests in flight at a target from all gateways, as estimated', 'target', source.targetRequests)
     this.#server.addLabelledGauge('acaciaweir_target_room', 'Free slots of a target, as estimated; negative if requests queue there', 'target', source.targetRoom)
+    this.#budgetRefusals = new metrics.Counter({ name: 'acaciaweir_budget_refusals_total', help: 'Requests refused for their prepaid budget, by whether it had tokens left as far as known', labelNames: ['outcome', 'budget_left'], registers })
     this.#server.addGauge('acaciaweir_limited_targets', 'Targets that name a limit', source.limitedTargets)
     this.#server.addGauge('acaciaweir_evacuated_zones', 'Zones that an operator has evacuated', source.evacuatedZones)
     this.#server.addGauge('acaciaweir_requests_in_progress', 'Requests in progress', source.requestsInProgress)
@@ -78,6 +80,10 @@
     this.#permits.inc({ outcome })
   }
 
+  countBudgetRefusal (outcome: string, isBudgetLeft: boolean): void {
+    this.#budgetRefusals.inc({ outcome, budget_left: String(isBudgetLeft) })
+  }
+
   listen (port: number, address: string): Promise<number> {
     return this.#server.listen(port, address)
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -86,6 +86,7 @@
   readonly #retryAllowance: decisions.retryAllowance.RetryAllowance
   readonly #targetConnections = new targetConnections.TargetConnections()
   readonly #peerTable: peerTables.PeerTable
+  readonly #storeReach = new decisions.storeReach.StoreReach()
   readonly #fleetView: fleetViews.FleetView
   readonly #configurationWatch: configurations.ConfigurationWatch
   readonly #targetWatch: targetWatches.TargetWatch
@@ -115,8 +116,9 @@
       onReleased: (part) => { this.#logger.info({ event: 'prompt-part-released', part }) }
     })
     this.#targetLimits = new decisions.targetLimits.TargetLimits((target, perSecond) => { this.#logger.info({ event: perSecond === undefined ? 'target-limit-ended' : 'target-limit', target, perSecond }) })
+    this.#store.onCallEnd((status) => { this.#recordStoreCall(status) })
     this.#peerTable = new peerTables.PeerTable(options.settings.peerListen)
-    this.#fleetView = new fleetViews.FleetView({ name: options.settings.host, availabilityZone: options.settings.availabilityZone, processorShare: options.settings.processorShare }, this.#peerTable, this.#clock)
+    this.#fleetView = new fleetViews.FleetView({ name: options.settings.host, availabilityZone: options.settings.availabilityZone, processorShare: options.settings.processorShare }, this.#peerTable, this.#clock, this.#storeReach)
     this.#targetPermits = new targetPermits.TargetPermits({
       clock: this.#clock,
       limits: this.#targetLimits,
@@ -265,11 +267,19 @@
       ready: this.#isReady(),
       load: this.#loadMeter.load(),
       processorShare: this.#settings.processorShare,
+      storeReach: this.#storeReach.state(this.#clock.now()),
       knowledgeAgeMs: Math.max(1, Math.round(Math.min(this.#fleetExchange.knowledgeAgeMs(), MAXIMUM_REPORTED_SILENCE_MS))),
       storeSilenceMs: Math.round(Math.min(this.#configurationWatch.silenceMs(), MAXIMUM_REPORTED_SILENCE_MS))
     }
   }
 
+  /** Judges by a store call that has ended whether this gateway reaches the store, and tells the others of a change. */
+  #recordStoreCall (status: platform.objectStore.StoreStatus): void {
+    if (!this.#storeReach.record(storeCallEnd(status), this.#clock.now())) return
+    this.#logger.info({ event: 'store-reach', state: this.#storeReach.state(this.#clock.now()) })
+    void this.#peerTask.announceSoon()
+  }
+
   #applyAgreement (table: decisions.routeTable.RouteTable): void {
     this.#fleetExchange.confirmAgreement(this.#clock.now())
     this.#callerServer.applyLimits(table.agreement.limits)
@@ -302,7 +312,8 @@
         pool: this.#tokenPool,
         clock: this.#clock,
         random: this.#random,
-        pageWriter: () => this.#fleetView.pageWriter(),
+        logger: this.#logger,
+        pageWriter: (failed) => this.#fleetView.pageWriter(failed),
         requestDraw: async (peerAddress, request) => await this.#peerTask.requestDraw(peerAddress, request)
       }),
       clock: this.#clock,
@@ -310,6 +321,7 @@
       logger: this.#logger,
       prepaidTotals: () => this.#prepaidTotals(),
       isFleetKnown: () => this.#fleetView.isFleetKnown(),
+      isStoreReachable: () => this.#fleetView.isStoreReachable(),
       holders: (account) => this.#fleetView.holders(account),
       requestTransfer: async (peerAddress, account, tokens) => await this.#peerTask.requestTransfer(peerAddress, account, tokens),
       hasLateTransfer: (account) => this.#peerTask.hasLateTransfer(account),
@@ -389,6 +401,7 @@
       announce,
       findService: (name) => this.#configurationWatch.routeTable?.service(name),
       gatewayCount: () => this.#fleetView.gatewayCount(),
+      onBudgetRefusal: (outcome, isBudgetLeft) => { this.#metrics.countBudgetRefusal(outcome, isBudgetLeft) },
       onFirstEvent: (milliseconds) => { this.#metrics.observeFirstEvent(milliseconds / 1000) }
     })
     return new callerServers.CallerServer({
@@ -421,3 +434,8 @@
     }
   }
 }
+
+function storeCallEnd (status: platform.objectStore.StoreStatus): decisions.storeReach.CallEnd {
+  if (status === 'refused') return decisions.storeReach.CallEnd.refused
+  return status === 'unknown' ? decisions.storeReach.CallEnd.unanswered : decisions.storeReach.CallEnd.answered
+}
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -26,6 +26,9 @@
 /** Retry-after delay where the prepaid budget is out of reach, in milliseconds. */
 const BUDGET_RETRY_AFTER_MS = 1000
 
+/** Share of the route's latency objective for which a request waits for tokens that are under way. */
+const BUDGET_WAIT_SHARE = 0.125
+
 /** Largest part by which a retry-after delay is lengthened at random where all targets rest or are evacuated. Callers would otherwise return in the same moment. */
 const RETRY_JITTER_SHARE = 0.25
 
@@ -60,6 +63,8 @@
   /** Number of live gateways, including this one. */
   gatewayCount: () => number
   onFirstEvent: (milliseconds: number) => void
+  /** Called with each request that the budget refuses. `isBudgetLeft` is true if its tokens are there as far as this gateway knows. */
+  onBudgetRefusal: (outcome: tokenAllocators.ReserveOutcome, isBudgetLeft: boolean) => void
 }
 
 /** Outcome of sending a request to one target. */
@@ -132,8 +137,13 @@
 
   /** Reserves tokens. Where the budget refuses, answers the caller and returns the outcome for the log. */
   async #reserve (call: calls.Call, worstCaseTokens: number): Promise<string | undefined> {
-    const outcome = await this.#options.tokens.reserve(call.account?.name ?? '', worstCaseTokens)
+    const patience: tokenAllocators.Patience = {
+      underWayMs: call.route.objectiveMs * BUDGET_WAIT_SHARE,
+      isGone: () => call.abortReason !== undefined
+    }
+    const outcome = await this.#options.tokens.reserve(call.account?.name ?? '', worstCaseTokens, patience)
     if (outcome === tokenAllocators.ReserveOutcome.reserved) return undefined
+    this.#options.onBudgetRefusal(outcome, this.#options.tokens.isBudgetLeft(call.account?.name ?? '', worstCaseTokens))
     call.budget = { wanted: worstCaseTokens, ...this.#options.tokens.reservationInputs(call.account?.name ?? '') }
     if (outcome === tokenAllocators.ReserveOutcome.exhausted) {
       answers.sendRefusal(call.response, { status: 402, reason: 'the request does not fit into the prepaid budget' })
--- a/packages/gateway/src/token-acquirer.ts
+++ b/packages/gateway/src/token-acquirer.ts
@@ -1,5 +1,5 @@
 import * as decisions from '@acaciaweir/decisions'
-import type * as estimators from './token-estimator.js'
+import * as estimators from './token-estimator.js'
 import type * as types from './token-types.js'
 
 const { TokenRole } = decisions.tokenHolders
@@ -31,6 +31,19 @@
 /** Least time between two rounds in which all other gateways are asked for an account's tokens, in milliseconds. */
 const BROADCAST_INTERVAL_MS = 300
 
+/** Answers of other gateways that are remembered of each account, for the log. */
+const MAXIMUM_REMEMBERED_ANSWERS = 4
+
+/** What another gateway said when it was asked for an account's tokens. */
+interface AskedGateway {
+  peer: string
+  /** When it was asked, in milliseconds. */
+  at: number
+  /** Tokens that it gave; undefined if it did not answer in time. */
+  given: number | undefined
+  usedUp: boolean
+}
+
 /** Acquires tokens for waiting requests: from other gateways, else from the token page. */
 export class TokenAcquirer {
   readonly #pool: decisions.tokenPool.TokenPool
@@ -46,6 +59,8 @@
   readonly #insufficientDrawAt = new Map<string, number>()
   /** Draws in progress, by account. */
   readonly #draws = new Map<string, Promise<unknown>>()
+  /** What the gateways said that were asked last, by account. */
+  readonly #asked = new Map<string, AskedGateway[]>()
   /** Time at which a gateway last failed to answer in time, by peer address. */
   readonly #unansweredAt = new Map<string, number>()
 
@@ -80,6 +95,15 @@
     return decisions.hashing.rendezvousOrder([selfAddress, asker], account, (address) => address)[0] === selfAddress
   }
 
+  /** Returns which gateways were asked last for an account's tokens, how long ago, and what they said, for the log. */
+  lastAnswers (account: string): Array<Record<string, unknown>> {
+    return (this.#asked.get(account) ?? []).map(({ peer, at, given, usedUp }) => ({ peer, agoMs: Math.round(this.#options.clock.now() - at), given, usedUp }))
+  }
+
+  #recordAnswer (account: string, asked: AskedGateway): void {
+    this.#asked.set(account, [...(this.#asked.get(account) ?? []), asked].slice(-MAXIMUM_REMEMBERED_ANSWERS))
+  }
+
   /** Tries once to acquire tokens, and adds them to the pool. Concurrent requests for the same account share one acquisition. */
   async acquire (account: string): Promise<void> {
     let acquisition = this.#acquisitions.get(account)
@@ -113,9 +137,11 @@
     let draw = this.#draws.get(account)
     if (draw === undefined) {
       const sinceInsufficientMs = clock.now() - (this.#insufficientDrawAt.get(account) ?? -Infinity)
-      const isLikelyInsufficient = sinceInsufficientMs < INSUFFICIENT_DRAW_BACKOFF_MS && page.remaining(account) < deficit
+      // A request that finds only an older page needs a new one to be told that the budget is used up.
+      const isLikelyInsufficient = sinceInsufficientMs < INSUFFICIENT_DRAW_BACKOFF_MS && page.remaining(account) < deficit && page.ageMs(account) <= estimators.EARLIER_PAGE_MAXIMUM_AGE_MS
       if (page.isBackingOff() || isLikelyInsufficient) return
-      draw = page.draw(new Map([[account, Math.max(deficit, this.#estimator.desiredLevel(account) - page.pending(account))]])).finally(() => { this.#draws.delete(account) })
+      const wanted = Math.max(deficit, this.#estimator.desiredLevel(account) - page.pending(account))
+      draw = page.draw(new Map([[account, wanted]]), new Map([[account, deficit]])).finally(() => { this.#draws.delete(account) })
       this.#draws.set(account, draw)
     }
     await Promise.race([draw, clock.sleep(PAGE_WAIT_TIMEOUT_MS)])
@@ -132,14 +158,17 @@
       const deficit = this.deficit(account)
       if (deficit <= 0 || this.#options.clock.now() >= deadline) return
       const expectedSpending = this.#pool.expectedSpending(account, PREFETCH_SECONDS, this.#seconds())
-      const isPrefetchUseful = expectedSpending > deficit * MINIMUM_PREFETCH_RATIO && !this.#options.hasLateTransfer(account)
+      const isPrefetchUseful = role !== TokenRole.holder && expectedSpending > deficit * MINIMUM_PREFETCH_RATIO && !this.#options.hasLateTransfer(account)
       const requested = isPrefetchUseful ? deficit + expectedSpending : deficit
+      const at = this.#options.clock.now()
       const received = await this.#options.requestTransfer(holder.peerAddress, account, requested)
       this.#pool.add(account, received?.tokens ?? 0)
+      this.#recordAnswer(account, { peer: holder.peerAddress, at, given: received?.tokens, usedUp: received?.usedUp === true })
       if (received === undefined) this.#unansweredAt.set(holder.peerAddress, this.#options.clock.now())
       else this.#unansweredAt.delete(holder.peerAddress)
       if (received?.usedUp === true && holder === holders[0] && role !== TokenRole.holder) {
-        this.#estimator.recordUsedUp(account)
+        // A gateway of an earlier release tells no age. Its page counts as read when it was asked.
+        this.#estimator.recordUsedUp(account, at - Math.max(0, received.pageAgeMs - 1))
         return
       }
     }
--- a/packages/gateway/src/token-allocator.ts
+++ b/packages/gateway/src/token-allocator.ts
@@ -26,8 +26,24 @@
 /** Draws that a gateway makes before it answers another gateway's request for tokens. The second one covers requests that arrived during the first. */
 const MAXIMUM_DRAWS_PER_TRANSFER = 2
 
-/** Attempts to acquire tokens for one request. */
-const MAXIMUM_ACQUIRE_ATTEMPTS = 3
+/** Attempts to acquire tokens for one request, also where no way to them is in sight. */
+const MINIMUM_ACQUIRE_ATTEMPTS = 3
+
+/** Pause between two looks for tokens, in milliseconds. */
+const ACQUIRE_PAUSE_MS = 50
+
+/** Largest page age that is told to other gateways, in milliseconds. */
+const MAXIMUM_REPORTED_AGE_MS = 1_000_000
+
+/** How long a request waits for tokens beyond `ACQUIRE_TIMEOUT_MS`. */
+export interface Patience {
+  /** Longest time for which it waits for tokens that are under way, in milliseconds. */
+  underWayMs: number
+  /** Returns true if nobody waits for the request any more. */
+  isGone: () => boolean
+}
+
+const DEFAULT_PATIENCE: Patience = { underWayMs: 0, isGone: () => false }
 
 /**
  * Pools last through nine seconds without the store early in a budget, and hold a smaller part of what is unspent as it gets less. What they hold
@@ -78,27 +94,70 @@
       free: this.#pool.freeTokens(account),
       elsewhere: this.#estimator.freeElsewhere(account),
       remaining: this.#options.page.remaining(account),
-      pageAgeMs: Math.round(this.#options.page.ageMs(account))
+      pageAgeMs: Math.round(this.#options.page.ageMs(account)),
+      pending: this.#options.page.pending(account),
+      role: this.#options.holders(account).role,
+      isStoreReachable: this.#options.isStoreReachable(),
+      asked: this.#acquirer.lastAnswers(account)
     }
   }
 
-  /** Reserves a request's worst case in tokens. Acquires them first if the pool has too few; no attempt starts later than `ACQUIRE_TIMEOUT_MS`. */
-  async reserve (account: string, tokens: number): Promise<ReserveOutcome> {
+  /** Returns true if a request's tokens are on the page or free here, as far as this gateway knows. */
+  isBudgetLeft (account: string, tokens: number): boolean {
+    return this.#options.page.remaining(account) + this.#pool.freeTokens(account) >= tokens
+  }
+
+  /**
+   * Reserves a request's worst case in tokens. Acquires them first if the pool has too few; no attempt starts later than `ACQUIRE_TIMEOUT_MS`.
+   * Then waits only for tokens that are under way, for as long as `patience` says.
+   */
+  async reserve (account: string, tokens: number, patience = DEFAULT_PATIENCE): Promise<ReserveOutcome> {
     if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
+    const { clock } = this.#options
+    const startedAt = clock.now()
+    const deadline = startedAt + acquirers.ACQUIRE_TIMEOUT_MS
     this.#acquirer.addWaitingTokens(account, tokens)
     try {
-      const deadline = this.#options.clock.now() + acquirers.ACQUIRE_TIMEOUT_MS
-      for (let attempt = 0; attempt < MAXIMUM_ACQUIRE_ATTEMPTS && this.#options.clock.now() < deadline; attempt++) {
-        if (this.#estimator.isUsedUp(account, tokens) && !this.#acquirer.isBroadcastDue(account)) return ReserveOutcome.exhausted
+      // Pauses are counted as well, as a clock may stand still.
+      let pausedMs = 0
+      for (let attempt = 1; ; attempt++) {
+        if (this.#estimator.isUsedUpForGood(account, tokens, startedAt) && !this.#acquirer.isBroadcastDue(account)) return ReserveOutcome.exhausted
         await this.#acquirer.acquire(account)
         if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
+        if (this.#estimator.isUsedUpForGood(account, tokens, startedAt)) return ReserveOutcome.exhausted
+        const pauseMs = attempt < MINIMUM_ACQUIRE_ATTEMPTS ? 0 : ACQUIRE_PAUSE_MS
+        pausedMs += pauseMs
+        const isTimeOver = clock.now() + pauseMs >= deadline || pausedMs >= acquirers.ACQUIRE_TIMEOUT_MS
+        if (patience.isGone() || isTimeOver || (pauseMs > 0 && !this.#isWayInSight(account))) break
+        if (pauseMs > 0) await clock.sleep(pauseMs)
+        if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
       }
-      return this.#estimator.isUsedUp(account, tokens) ? ReserveOutcome.exhausted : ReserveOutcome.unreachable
+      return await this.#awaitTokens(account, tokens, startedAt, patience)
     } finally {
       this.#acquirer.addWaitingTokens(account, -tokens)
     }
   }
 
+  /** Waits for tokens that are under way, without asking for more, and reserves them. */
+  async #awaitTokens (account: string, tokens: number, startedAt: number, patience: Patience): Promise<ReserveOutcome> {
+    const { clock } = this.#options
+    const deadline = startedAt + acquirers.ACQUIRE_TIMEOUT_MS + patience.underWayMs
+    while (patience.underWayMs > 0 && !patience.isGone() && clock.now() < deadline && this.#isUnderWay(account, tokens)) {
+      await clock.sleep(Math.min(ACQUIRE_PAUSE_MS, deadline - clock.now()))
+      if (this.#pool.reserve(account, tokens)) return ReserveOutcome.reserved
+    }
+    return this.#estimator.isUsedUpForGood(account, tokens, startedAt) ? ReserveOutcome.exhausted : ReserveOutcome.unreachable
+  }
+
+  #isUnderWay (account: string, tokens: number): boolean {
+    return this.#options.page.pending(account) >= tokens || this.#options.hasLateTransfer(account)
+  }
+
+  /** In a small fleet each gateway has only its own way to the store, which the attempts have tried. */
+  #isWayInSight (account: string): boolean {
+    return this.#options.holders(account).role !== TokenRole.peer && this.#options.isStoreReachable()
+  }
+
   /** Ends a reservation: counts the spent tokens and frees the rest. */
   settle (account: string, reservedTokens: number, spentTokens: number): void {
     this.#pool.settle(account, reservedTokens, spentTokens, this.#seconds())
@@ -106,19 +165,22 @@
 
   /**
    * Takes free tokens out of the pool for another gateway, up to the requested number. In a small fleet, a gateway that needs the tokens
-   * itself and has priority gives none. In a large one it draws what it lacks first, whatever its role: the asking gateway may know the
-   * fleet better.
+   * itself and has priority gives none. In a large one it draws what it lacks first, whatever its role, except for a holder that reaches the store:
+   * the asking gateway may know the fleet better.
    */
   async handleTransfer ({ account, tokens, asker }: routers.gatewayMessages.TokenTransferRequest): Promise<routers.gatewayMessages.TokenTransferReply> {
-    const { role } = this.#options.holders(account)
+    const { role, otherHolders } = this.#options.holders(account)
     if (role === TokenRole.peer) {
       const given = this.#acquirer.hasPriorityOver(account, asker) ? 0 : this.#pool.withdraw(account, tokens)
-      return { tokens: given, usedUp: false, freeTokens: this.#pool.freeTokens(account) }
+      return { tokens: given, usedUp: false, freeTokens: this.#pool.freeTokens(account), pageAgeMs: 0 }
     }
-    if (this.#pool.freeTokens(account) < tokens) await this.#drawForTransfer(account, tokens)
+    // A holder that reaches the store draws at the same time, and would find here the same tokens once more.
+    const isAskedByHolder = role === TokenRole.standby && otherHolders[0]?.peerAddress === asker && otherHolders[0].reachesStore === true
+    if (this.#pool.freeTokens(account) < tokens && !isAskedByHolder) await this.#drawForTransfer(account, tokens)
     const given = this.#pool.transferOut(account, tokens, this.#seconds())
-    const usedUp = role === TokenRole.holder && given < tokens && this.#estimator.isUsedUp(account, tokens - given)
-    return { tokens: given, usedUp, freeTokens: this.#pool.freeTokens(account) }
+    const usedUp = role === TokenRole.holder && given < tokens && this.#estimator.isUsedUpForGood(account, tokens - given)
+    const pageAgeMs = Math.min(Math.ceil(this.#options.page.ageMs(account)), MAXIMUM_REPORTED_AGE_MS) + 1
+    return { tokens: given, usedUp, freeTokens: this.#pool.freeTokens(account), pageAgeMs }
   }
 
   async #drawForTransfer (account: string, tokens: number): Promise<void> {
@@ -130,9 +192,13 @@
     }
   }
 
-  /** Returns all free tokens to the token page, or to another gateway if the store is unreachable. Stops rebalancing. */
+  /**
+   * Returns all free tokens to the token page, or to another gateway if the store is unreachable, and holds none ahead of demand any more. What
+   * requests free later goes to the gateway that holds the account's tokens.
+   */
   async returnAllTokens (): Promise<void> {
     this.#isClosing = true
+    this.#estimator.close()
     const returned = new Map<string, number>()
     for (const [account, level] of this.#pool.levels()) {
       const tokens = this.#pool.withdraw(account, level.free)
@@ -159,8 +225,12 @@
    */
   async rebalance (): Promise<void> {
     const totals = this.#options.prepaidTotals()
-    if (totals === undefined || this.#isClosing || !this.#options.isFleetKnown()) return
+    if (totals === undefined || !this.#options.isFleetKnown()) return
     const accounts = Object.keys(totals.totals)
+    if (this.#isClosing) {
+      await Promise.all(accounts.map(async (account) => { await this.#returnToHolder(account, Infinity) }))
+      return
+    }
     const isBorrowed = (account: string): boolean => this.#isBorrowed(account)
     await Promise.all([
       ...accounts.filter(isBorrowed).map(async (account) => { await this.#returnExcess(account, totals.totals[account]) }),
--- a/packages/gateway/src/token-types.ts
+++ b/packages/gateway/src/token-types.ts
@@ -11,6 +11,8 @@
   freeTokens: number | undefined
   /** Tokens a second that it spends of the account, by its last heartbeat. Undefined in a large fleet. */
   spending: number | undefined
+  /** True if it told in a large fleet that it reaches the store. */
+  reachesStore?: boolean
 }
 
 /** This gateway's role for an account, and the other gateways that hold the account's tokens. */
@@ -35,6 +37,8 @@
   isFleetKnown: () => boolean
   /** Returns the gateways that draw the account's tokens from the token page. */
   holders: (account: string) => AccountHolders
+  /** Returns false if gateways are cut off from the store, and none is known to reach it. */
+  isStoreReachable: () => boolean
   /** Requests tokens from another gateway. Resolves to undefined if it doesn't answer in time. */
   requestTransfer: (peerAddress: string, account: string, tokens: number) => Promise<routers.gatewayMessages.TokenTransferReply | undefined>
   /** Returns true if tokens may still come from a transfer that took too long. */
--- a/packages/gateway/test/budget-load.test.ts
+++ b/packages/gateway/test/budget-load.test.ts
@@ -109,7 +109,8 @@
 
   #pageWriter (index: number): string | undefined {
     if (this.#gatewayCount <= decisions.fleetSize.MAXIMUM_SMALL_FLEET_SIZE) return undefined
-    const writer = decisions.tokenHolders.selectPageWriter(this.#drawingGateways())
+    const drawing = this.#drawingGateways()
+    const [writer] = decisions.tokenHolders.orderPageWriters(drawing.map((name) => ({ name, reach: decisions.storeReach.ReachState.unknown })), drawing)
     return writer === String(index) ? undefined : writer
   }
 
@@ -135,6 +136,7 @@
         pageClient: pages,
         pool,
         clock,
+        logger,
         random: new decisions.random.SeededRandom(index),
         pageWriter: () => this.#pageWriter(index),
         requestDraw: async (peerAddress, request) => await this.#gateways[Number(peerAddress)].task.handleDraw(request)
@@ -144,6 +146,7 @@
       logger,
       prepaidTotals: totals,
       isFleetKnown: () => true,
+      isStoreReachable: () => true,
       holders: (account) => this.#accountHolders(account, index),
       requestTransfer: async (peerAddress, account, tokens) => await this.#gateways[Number(peerAddress)].task.handleTransfer({ transferId: '', account, tokens, asker: String(index) }),
       hasLateTransfer: () => false,
--- a/packages/gateway/test/token-page-conflicts.test.ts
+++ b/packages/gateway/test/token-page-conflicts.test.ts
@@ -168,9 +168,10 @@
         pageClient,
         pool,
         clock: this.clock,
+        logger: shared.logger,
         random: shared.random,
         pageWriter: () => {
-          const writer = decisions.tokenHolders.selectPageWriter(this.#drawing)
+          const [writer] = decisions.tokenHolders.orderPageWriters(this.#drawing.map((name) => ({ name, reach: decisions.storeReach.ReachState.unknown })), this.#drawing)
           return writer === String(index) ? undefined : writer
         },
         requestDraw: async (peerAddress, request) => {
@@ -179,6 +180,7 @@
         }
       }),
       isFleetKnown: () => true,
+      isStoreReachable: () => true,
       holders: (account) => this.#holders(account, index),
       requestTransfer: async (peerAddress, account, tokens) => {
         await this.clock.sleep(GATEWAY_ANSWER_MS)
