--- a/packages/stand-ins/src/platform-stand-in.ts
+++ b/packages/stand-ins/src/platform-stand-in.ts
@@ -25,6 +25,14 @@
   timeoutMs?: number
   /** Connections that each target accepts from all gateways together. */
   maximumConnections?: number
+  /** Seconds for which model engines are cold after their start, and requests a second that they take meanwhile. */
+  coldStart?: { seconds: number, perSecond: number }
+}
+
+/** Time for which a target is cold, and the requests a second that it takes meanwhile. */
+export interface ColdPhase {
+  milliseconds: number
+  perSecond: number
 }
 
 /** A stand-in for the platform around a gateway: the store with the operators' configuration, and targets. */
@@ -50,18 +58,25 @@
   }
 
   /** Starts a target and registers it. The service `engines` consists of model engines; `orders` is a plain service. */
-  async addTarget (service: 'engines' | 'orders', id: string, options: Partial<targets.TargetOptions> = {}): Promise<targets.TargetServer> {
+  async addTarget (service: 'engines' | 'orders', id: string, options: Partial<targets.TargetOptions> = {}, cold?: ColdPhase): Promise<targets.TargetServer> {
     const target = new targets.TargetServer({
       id, service, availabilityZone: 'zone-a', slots: 32, workMs: 5, eventIntervalMs: 2, events: 6, answerBytes: 0, ...options
     })
     target.crashingParts = this.crashingParts
     target.onCrash = () => { this.#replaceCrashed(target, service) }
     await target.listen()
+    if (cold !== undefined) target.becomeCold(cold.milliseconds, cold.perSecond)
     this.targets.push(target)
     this.store.putObject('servers', target.options.id, target.registryEntry())
     return target
   }
 
+  /** Makes a running target cold, and tells so in its registration. */
+  makeCold (target: targets.TargetServer, { milliseconds, perSecond }: ColdPhase): void {
+    target.becomeCold(milliseconds, perSecond)
+    this.store.putObject('servers', target.options.id, target.registryEntry())
+  }
+
   /** Starts a new target in place of one that crashed, under a new id. */
   #replaceCrashed (target: targets.TargetServer, service: 'engines' | 'orders'): void {
     this.crashTimes.push(performance.now())
@@ -95,7 +110,7 @@
         ...(overrides.routes ?? [])
       ],
       Services: [
-        { Name: 'engines', HealthPath: '/health', MaxConnections: overrides.maximumConnections ?? 200, Engine: { Slots: 32, KvCapacityTokens: 100_000, Stride: 1 } },
+        { Name: 'engines', HealthPath: '/health', MaxConnections: overrides.maximumConnections ?? 200, ColdStartS: overrides.coldStart?.seconds ?? 0, ColdPerS: overrides.coldStart?.perSecond ?? 0, Engine: { Slots: 32, KvCapacityTokens: 100_000, Stride: 1 } },
         { Name: 'orders', HealthPath: '/health', MaxConnections: overrides.maximumConnections ?? 200 }
       ],
       Limits: { MaxHeaderBytes: 16_384, MaxBodyBytes: 65_536, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15_000 },
--- a/packages/stand-ins/src/target-server.ts
+++ b/packages/stand-ins/src/target-server.ts
@@ -55,6 +55,10 @@
 /** Events that reach the gateway before a crash at `afterEvents`. */
 const EVENTS_BEFORE_CRASH = 2
 
+/** Requests within one second under which a cold target crashes: this multiple of its rate, and this many more. */
+const COLD_CRASH_FACTOR = 1.5
+const COLD_CRASH_REQUESTS = 5
+
 /** Identity, capacity and timing of a stand-in target. */
 export interface TargetOptions {
   id: string
@@ -149,6 +153,9 @@
   saysLeaving = false
   /** Seconds that the target adds to its rejections, as the time for which it wants nothing from the gateway; as text, as it sends them. */
   retryAfter: string | undefined
+  #coldSince = -Infinity
+  #coldUntil = -Infinity
+  #coldPerSecond = Infinity
   /** Requests received, also those that it rejected. */
   receivedRequests = 0
   /** Times at which these were received. */
@@ -164,6 +171,17 @@
     })
   }
 
+  /** Becomes cold for a time. Meanwhile the target crashes if it gets far more requests within one second than `perSecond`. */
+  becomeCold (milliseconds: number, perSecond: number): void {
+    this.#coldSince = performance.now()
+    this.#coldUntil = this.#coldSince + milliseconds
+    this.#coldPerSecond = perSecond
+  }
+
+  get coldRemainingMs (): number {
+    return Math.max(0, Math.round(this.#coldUntil - performance.now()))
+  }
+
   get hasCrashed (): boolean {
     return this.#hasCrashed
   }
@@ -190,7 +208,7 @@
   /** Returns the object with which the target registers in the store. */
   registryEntry (state: 'ready' | 'draining' = 'ready'): object {
     const { service, availabilityZone, slots } = this.options
-    return { Service: service, Address: this.#address, Zone: availabilityZone, Version: 'v1', Slots: slots, State: state, ColdRemainingMs: 0, Sequence: 1 }
+    return { Service: service, Address: this.#address, Zone: availabilityZone, Version: 'v1', Slots: slots, State: state, ColdRemainingMs: this.coldRemainingMs, Sequence: 1 }
   }
 
   async #handle (message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
@@ -204,6 +222,7 @@
       response.writeHead(MISDIRECTED_REQUEST, { 'attempt-id': attemptId, 'not-executed': '1' }).end()
       return
     }
+    if (this.#isOverrunWhileCold()) { this.crash(); return }
     if (this.fault === TargetFault.full || this.#inProgress >= this.options.slots) {
       if (this.retryAfter !== undefined) response.setHeader('retry-after', this.retryAfter)
       response.writeHead(503, { 'attempt-id': attemptId, 'not-executed': '1' }).end()
@@ -224,6 +243,12 @@
     }
   }
 
+  #isOverrunWhileCold (): boolean {
+    const from = Math.max(this.#coldSince, performance.now() - 1000)
+    const lastSecond = this.arrivals.filter((at) => at > from)
+    return this.coldRemainingMs > 0 && lastSecond.length > this.#coldPerSecond * COLD_CRASH_FACTOR + COLD_CRASH_REQUESTS
+  }
+
   async #waitUntilNotSilent (): Promise<void> {
     while (this.fault === TargetFault.silent) await sleep(SILENCE_CHECK_INTERVAL_MS)
   }
