Keep the whole fleet within the rate of a target that is cold

Gateways knew nothing of targets that have just started, so that each sent what one may. A service's cold start, the time that an entry or an answer says is left, and what other gateways heard are kept beside the target board; while a target is cold, its keeper grants 0.7 of its rate, gateways that can't reach the keeper share 0.1 of it, and placement expects longer work there.

--- a/packages/decisions/src/agreement-types.ts
+++ b/packages/decisions/src/agreement-types.ts
@@ -39,6 +39,14 @@
   tokensPerEvent: number
 }
 
+/** How targets behave that have just started. */
+export interface ColdStart {
+  /** Time for which a target is cold after its start. */
+  milliseconds: number
+  /** Requests a second that a cold target takes from all routers together. */
+  perSecond: number
+}
+
 /** A group of interchangeable targets. */
 export interface Service {
   name: string
@@ -46,6 +54,8 @@
   maximumConnections: number
   /** Set for model engines only. */
   engine?: EngineCapacity
+  /** Set if targets take few requests while they are cold. */
+  coldStart?: ColdStart
 }
 
 /** A client account with its keys and its prepaid budget. */
@@ -87,6 +97,8 @@
   leaving: boolean
   /** Wall-clock time at which the target started, in milliseconds since 1970; undefined if it does not say. */
   startedAt?: number
+  /** Time for which the target stayed cold when this was sent, in milliseconds; undefined if it does not say. */
+  coldMs?: number
 }
 
 /** Returns a name of one run of a target at its address. Another target may get the address later, and a run without a start time keeps its id. */
--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -37,6 +37,9 @@
 /** Cost of a plain service whose slots are all in use; a partly used one costs its share. Unit: prompt tokens. */
 const FULL_PLAIN_TARGET_COST_TOKENS = 10_000
 
+/** Time that the work at a target that has just started takes longer, as a share of what it takes otherwise. */
+const COLD_DELAY_SHARE = 1
+
 /** Prompt length at which attention, whose time grows quadratically, takes as long as all other computation. */
 const ATTENTION_PARITY_TOKENS = 32_000
 
@@ -51,6 +54,9 @@
 /** Returns true if a request may go to a target at present. */
 export type TargetFilter = (target: boards.TargetState) => boolean
 
+/** Returns the part of its cold start that a target has before it, from 0 to 1; 0 if it is warm. */
+export type ColdShare = (target: boards.TargetState) => number
+
 /** The target chosen for a request and, optionally, another target from whose cache it copies shared prompt parts. */
 export interface Placement {
   target: boards.TargetState
@@ -65,19 +71,19 @@
  * short, and is otherwise copied to another target rather than read again. Rendezvous hashing gives each prefix an
  * affinity target on which all routers agree without communicating.
  */
-export function chooseTarget (board: boards.TargetBoard, request: PlacementRequest, tried: ReadonlySet<string>, now: number, isPermitted: TargetFilter = () => true): Placement | undefined {
+export function chooseTarget (board: boards.TargetBoard, request: PlacementRequest, tried: ReadonlySet<string>, now: number, isPermitted: TargetFilter = () => true, coldShare: ColdShare = () => 0): Placement | undefined {
   const untried = board.assignableTargets(request.service).filter((target) => !tried.has(target.entry.id))
   const healthy = untried.filter((target) => target.backoffUntil <= now)
   const sources = healthy.length > 0 ? healthy : untried
   const considered = sources.some(isPermitted) ? sources : untried
   const candidates = considered.filter(isPermitted)
   const affinityId = affinityTargetId(sources, request)
-  const cachedTokens = new Map(considered.map((target) => [target, estimateCachedTokens(board, target.entry.id, request, target.entry.id === affinityId, now)]))
+  const cachedTokens = new Map(considered.map((target) => [target, estimateCachedTokens(board, target.entry.id, request, target.entry.id === affinityId ? 1 - coldShare(target) : 0, now)]))
   const copySource = maximumBy(sources, (target) => cachedTokens.get(target) ?? 0)
   const copyableTokens = copySource === undefined ? 0 : estimateCopyableTokens(board, copySource, request, now)
   const target = maximumBy(
     candidates,
-    (candidate) => -estimateDelay(candidate, request, cachedTokens.get(candidate) ?? 0, copyableTokens),
+    (candidate) => -estimateDelay(candidate, request, cachedTokens.get(candidate) ?? 0, copyableTokens, coldShare(candidate)),
     (candidate, best) => candidate.lastStartedAt < best.lastStartedAt
   )
   if (target === undefined) return undefined
@@ -97,15 +103,16 @@
 }
 
 /** Estimates the delay at a target, in prompt tokens that could be read in the same time. */
-function estimateDelay (target: boards.TargetState, request: PlacementRequest, cachedTokens: number, copyableTokens: number): number {
+function estimateDelay (target: boards.TargetState, request: PlacementRequest, cachedTokens: number, copyableTokens: number, coldShare: number): number {
+  const coldFactor = 1 + coldShare * COLD_DELAY_SHARE
   const { entry } = target
   const running = requestsInFlight(target)
   const zoneCost = entry.availabilityZone === request.availabilityZone ? 0 : CROSS_ZONE_COST_TOKENS
   const baseCost = zoneCost + target.failureRatio * FAILURE_COST_TOKENS + Math.max(0, running + 1 - entry.slots) * QUEUED_REQUEST_COST_TOKENS
-  if (request.promptTokens === 0) return baseCost + running / entry.slots * FULL_PLAIN_TARGET_COST_TOKENS
+  if (request.promptTokens === 0) return baseCost + (running / entry.slots * coldFactor + coldShare * COLD_DELAY_SHARE) * FULL_PLAIN_TARGET_COST_TOKENS
   const unreadTokens = target.ownWork.unreadTokens + target.otherRoutersWork.unreadTokens
   const savedByCopy = Math.max(0, copyableTokens - cachedTokens) * (1 - COPY_COST_SHARE)
-  return baseCost + running * RUNNING_REQUEST_COST_TOKENS + unreadTokens + request.promptTokens - cachedTokens - savedByCopy
+  return baseCost + (running * RUNNING_REQUEST_COST_TOKENS + unreadTokens + request.promptTokens - cachedTokens - savedByCopy) * coldFactor
 }
 
 /** Returns the item with the highest measure, of equal ones the first that no other is preferred to; undefined for an empty list. */
@@ -123,13 +130,16 @@
 
 /** Estimates the prompt tokens that need not be read again if they are copied from the given target. */
 function estimateCopyableTokens (board: boards.TargetBoard, copySource: boards.TargetState, request: PlacementRequest, now: number): number {
-  const sentTokens = estimateCachedTokens(board, copySource.entry.id, request, false, now)
+  const sentTokens = estimateCachedTokens(board, copySource.entry.id, request, 0, now)
   const assumedTokens = request.sharedParts.reduce((sum, part) => sum + part.tokens, 0) * ASSUMED_COPYABLE_SHARE
   return Math.max(sentTokens, assumedTokens)
 }
 
-/** Estimates the prompt tokens that the target has cached. A cached part counts only if all parts before it are cached. */
-function estimateCachedTokens (board: boards.TargetBoard, id: string, request: PlacementRequest, isAffinityTarget: boolean, now: number): number {
+/**
+ * Estimates the prompt tokens that the target has cached. A cached part counts only if all parts before it are cached. `affinity` is from 0 to 1:
+ * how far the target is the one on which all routers agree for the prompt.
+ */
+function estimateCachedTokens (board: boards.TargetBoard, id: string, request: PlacementRequest, affinity: number, now: number): number {
   let sentTokens = 0
   let totalTokens = 0
   let isContiguous = true
@@ -138,5 +148,5 @@
     isContiguous &&= board.hasSentPartRecently(id, part.id, now)
     if (isContiguous) sentTokens += part.tokens
   }
-  return isAffinityTarget ? Math.max(sentTokens, totalTokens * AFFINITY_CACHED_SHARE) : sentTokens
+  return Math.max(sentTokens, totalTokens * AFFINITY_CACHED_SHARE * affinity)
 }
--- a/packages/decisions/src/target-limits.ts
+++ b/packages/decisions/src/target-limits.ts
@@ -1,3 +1,5 @@
+import type * as randoms from './random.js'
+
 /** Least rate at which a target with a limit still gets requests, per second. Without an answer nobody would learn that the limit has ended. */
 export const MINIMUM_RATE_PER_SECOND = 0.1
 
@@ -7,6 +9,22 @@
 /** Requests that may follow each other without a pause, in seconds of the limit; at least one. */
 const BURST_SECONDS = 0.5
 
+/** Share of a cold target's rate that its keeper grants. A cold target crashes above its rate, and two routers may take themselves for its keeper. */
+const COLD_KEEPER_SHARE = 0.7
+
+/** Share of that rate that all routers together use that can't reach the keeper. */
+const COLD_UNREACHED_SHARE = 0.1
+
+/** The same as `BURST_SECONDS` for a cold target, and the most requests that may follow each other. */
+const COLD_BURST_SECONDS = 0.1
+const MAXIMUM_COLD_BURST = 2
+
+/** Time within which a router that can't reach the keeper may use its share. Shares that were saved up would be used in the same burst. */
+const UNREACHED_WINDOW_MS = 300
+
+/** Positions at which that window may lie in its period. */
+const PHASES = 1000
+
 /** Targets of which a limit or its bucket is remembered. */
 const MAXIMUM_TARGETS = 500
 
@@ -106,12 +124,12 @@
 
   /**
    * Grants or denies one request. `fleetShare` is the share of all known routers that this one hears: a cut may separate it from another
-   * part of the fleet, which then grants permits of its own.
+   * part of the fleet, which then grants permits of its own. A cold target gets less than it takes, without bursts.
    */
-  request (target: string, perSecond: number, fleetShare: number, now: number): Permit {
-    const rate = Math.max(MINIMUM_RATE_PER_SECOND, perSecond * fleetShare)
+  request (target: string, perSecond: number, fleetShare: number, now: number, isCold = false): Permit {
+    const rate = Math.max(MINIMUM_RATE_PER_SECOND, perSecond * fleetShare * (isCold ? COLD_KEEPER_SHARE : 1))
     const bucket = this.#buckets.get(target) ?? { permits: 0, filledAt: now }
-    const capacity = Math.max(1, rate * BURST_SECONDS)
+    const capacity = Math.max(1, isCold ? Math.min(MAXIMUM_COLD_BURST, rate * COLD_BURST_SECONDS) : rate * BURST_SECONDS)
     bucket.permits = Math.min(capacity, bucket.permits + (now - bucket.filledAt) / 1000 * rate)
     bucket.filledAt = now
     const isGranted = bucket.permits >= 1
@@ -123,6 +141,32 @@
   }
 }
 
+/**
+ * Grants this router's own share of a cold target's rate while the keeper is out of reach: one request in a short window of each period. The
+ * windows of the routers lie at random, so that their shares are not used at the same time.
+ */
+export class UnreachedShares {
+  readonly #random: randoms.RandomSource
+  /** Position of the windows in the period, from 0 to 1, and the last period in which the share was used, by target. */
+  readonly #shares = new Map<string, { phase: number, usedPeriod: number }>()
+
+  constructor (random: randoms.RandomSource) {
+    this.#random = random
+  }
+
+  request (target: string, perSecond: number, routers: number, now: number): Permit {
+    const periodMs = 1000 * routers / (perSecond * COLD_UNREACHED_SHARE)
+    const share = this.#shares.get(target) ?? { phase: this.#random.integer(PHASES) / PHASES, usedPeriod: -1 }
+    this.#shares.set(target, share)
+    dropOldest(this.#shares)
+    const periods = now / periodMs + share.phase
+    const period = Math.floor(periods)
+    const isGranted = period !== share.usedPeriod && (periods - period) * periodMs <= UNREACHED_WINDOW_MS
+    if (isGranted) share.usedPeriod = period
+    return { isGranted, retryAfterMs: (period + 1 - periods) * periodMs }
+  }
+}
+
 function dropOldest (map: Map<string, unknown>): void {
   if (map.size <= MAXIMUM_TARGETS) return
   const [oldest] = map.keys()
--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -30,6 +30,7 @@
   store: platform.objectStore.ObjectStore
   promptParts: decisions.promptPartBoard.PromptPartBoard
   targetLimits: decisions.targetLimits.TargetLimits
+  coldTargets: decisions.coldTargets.ColdTargets
   /** Returns this gateway's own entry, the sender of its heartbeats. */
   member: () => routers.gatewayMessages.GatewayMember
   /** Fetches a newer agreement and newer targets from a gateway. */
@@ -84,7 +85,7 @@
 
   /** Builds a heartbeat. It carries the token counts only in a small fleet, where every gateway exchanges tokens with all others. */
   buildHeartbeat (): Omit<routers.gatewayMessages.GatewayHeartbeat, 'sequence' | 'asksForAnswer'> {
-    const { board, clock, configuration, peers, promptParts, store, targetLimits, targets, tokenPages, tokens, view } = this.#options
+    const { board, clock, coldTargets, configuration, peers, promptParts, store, targetLimits, targets, tokenPages, tokens, view } = this.#options
     const ownDraws = tokenPages.ownDraws()
     const sharesTokenCounts = view.gatewayCount() <= decisions.fleetSize.MAXIMUM_SMALL_FLEET_SIZE
     return {
@@ -102,6 +103,7 @@
       spending: sharesTokenCounts ? tokens.spending() : {},
       promptParts: promptParts.reports(clock.now()),
       targetLimits: targetLimits.reports(clock.now()),
+      coldTargets: coldTargets.reports(clock.now()),
       leavingTargets: board.entries().filter((entry) => entry.leaving).map((entry) => entry.id)
     }
   }
@@ -117,6 +119,7 @@
     store.learnEpoch(heartbeat.storeEpoch)
     promptParts.merge(heartbeat.promptParts, now)
     targetLimits.merge(heartbeat.targetLimits, now)
+    this.#options.coldTargets.merge(heartbeat.coldTargets, now)
     for (const id of heartbeat.leavingTargets) board.markLeaving(id)
     if (now - this.#workSummedAt >= WORK_SUM_INTERVAL_MS) {
       this.#workSummedAt = now
@@ -153,12 +156,18 @@
     const { version } = this.#options.targets
     return {
       agreement: isNewer ? JSON.stringify(agreement) : '',
-      targets: decisions.storeVersion.isNewer(version, targetsVersion(known)) ? JSON.stringify(this.#options.board.entries()) : '',
+      targets: decisions.storeVersion.isNewer(version, targetsVersion(known)) ? JSON.stringify(this.#entriesToSend()) : '',
       targetsRevision: version.revision,
       targetsEpoch: version.epoch
     }
   }
 
+  /** Returns the targets with the time for which they stay cold from now on. */
+  #entriesToSend (): decisions.agreementTypes.TargetEntry[] {
+    const { board, clock, coldTargets } = this.#options
+    return board.entries().map((entry) => ({ ...entry, coldMs: coldTargets.remainingMs(entry.id, clock.now()) }))
+  }
+
   /** Applies the newer agreement and targets of another gateway. Throws a `SyntaxError` if they are not valid JSON. */
   applyState (state: routers.gatewayMessages.GatewayState): void {
     if (state.agreement !== '') this.#options.configuration.applyIfNewer(JSON.parse(state.agreement), configurations.AgreementSource.peer)
--- a/packages/gateway/src/fleet-view.ts
+++ b/packages/gateway/src/fleet-view.ts
@@ -6,6 +6,9 @@
 /** Time for which the view of a large fleet is cached, in milliseconds: the interval between two rounds of heartbeats. */
 const LARGE_FLEET_CACHE_MS = 300
 
+/** Time after a start within which a gateway may not have heard the others, in milliseconds. */
+const INTRODUCTION_TIME_MS = 2000
+
 /** A large fleet as of one moment, and what was worked out from it since. */
 interface LargeFleet {
   selectedAt: number
@@ -42,6 +45,11 @@
     return this.#hasKnownFleet || !decisions.fleetSize.isLargeFleet(discovery)
   }
 
+  /** Returns false while this gateway may take itself for a keeper because it has not heard the others yet. */
+  isIntroduced (): boolean {
+    return this.#clock.now() - this.#startedAt >= INTRODUCTION_TIME_MS && this.isFleetKnown()
+  }
+
   #discovery (): decisions.fleetSize.Discovery {
     const now = this.#clock.now()
     return { uptimeMs: now - this.#startedAt, ...this.#peers.discovered(now) }
@@ -52,6 +60,11 @@
     return 1 + this.#live().length
   }
 
+  /** Returns the number of gateways that are live or have fallen silent lately, this one included. */
+  knownGatewayCount (): number {
+    return 1 + Math.max(this.#live().length, this.#peers.knownGateways())
+  }
+
   /** Returns the other live gateways that accept callers. */
   servingGateways (): routers.gatewayMessages.GatewayMember[] {
     return this.#peers.servingGateways(this.#clock.now())
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -9,6 +9,7 @@
   livePeers: () => number
   heldPromptParts: () => number
   limitedTargets: () => number
+  coldTargets: () => number
   freeTokens: () => Record<string, number>
   storeCalls: () => platform.objectStore.StoreCallCounts
   droppedLogLines: () => number
@@ -34,8 +35,9 @@
     this.#firstEventSeconds = new metrics.Histogram({ name: 'acaciaweir_first_event_seconds', help: 'Time to the first event of a stream', buckets, registers })
     this.#readDelaySeconds = new metrics.Histogram({ name: 'acaciaweir_read_delay_seconds', help: 'Longest time for which a request can have waited to be read', buckets, registers })
     this.#connectionDrops = new metrics.Counter({ name: 'acaciaweir_connection_drops_total', help: 'Times that the connections waiting to be accepted were dropped', registers })
-    this.#permits = new metrics.Counter({ name: 'acaciaweir_target_permits_total', help: 'Permits asked for, for targets that name a limit', labelNames: ['outcome'], registers })
+    this.#permits = new metrics.Counter({ name: 'acaciaweir_target_permits_total', help: 'Permits asked for, for targets that name a limit or are cold', labelNames: ['outcome'], registers })
     this.#server.addGauge('acaciaweir_limited_targets', 'Targets that name a limit', source.limitedTargets)
+    this.#server.addGauge('acaciaweir_cold_targets', 'Targets that are cold', source.coldTargets)
     this.#server.addGauge('acaciaweir_requests_in_progress', 'Requests in progress', source.requestsInProgress)
     this.#server.addGauge('acaciaweir_agreement_version', 'Version of the agreement in force', source.agreementVersion)
     this.#server.addGauge('acaciaweir_live_peers', 'Other gateways heard lately', source.livePeers)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -79,6 +79,7 @@
   readonly #targetBoard = new decisions.targetBoard.TargetBoard()
   readonly #promptParts: decisions.promptPartBoard.PromptPartBoard
   readonly #targetLimits: decisions.targetLimits.TargetLimits
+  readonly #coldTargets: decisions.coldTargets.ColdTargets
   readonly #targetPermits: targetPermits.TargetPermits
   readonly #tokenPool = new decisions.tokenPool.TokenPool()
   readonly #retryAllowance: decisions.retryAllowance.RetryAllowance
@@ -112,11 +113,17 @@
       onReleased: (part) => { this.#logger.info({ event: 'prompt-part-released', part }) }
     })
     this.#targetLimits = new decisions.targetLimits.TargetLimits((target, perSecond) => { this.#logger.info({ event: perSecond === undefined ? 'target-limit-ended' : 'target-limit', target, perSecond }) })
+    this.#coldTargets = new decisions.coldTargets.ColdTargets(
+      (service) => this.#configurationWatch.routeTable?.service(service)?.coldStart,
+      ({ isCold, ...change }) => { this.#logger.info({ event: isCold ? 'target-cold' : 'target-warm', ...change }) }
+    )
     this.#peerTable = new peerTables.PeerTable(options.settings.peerListen)
     this.#fleetView = new fleetViews.FleetView({ name: options.settings.host, availabilityZone: options.settings.availabilityZone, processorShare: options.settings.processorShare }, this.#peerTable, this.#clock)
     this.#targetPermits = new targetPermits.TargetPermits({
       clock: this.#clock,
       limits: this.#targetLimits,
+      coldTargets: this.#coldTargets,
+      random: this.#random,
       view: this.#fleetView,
       requestPermit: async (peerAddress, request) => await this.#peerTask.requestPermit(peerAddress, request),
       onOutcome: (outcome) => { this.#metrics.countPermit(outcome) }
@@ -126,7 +133,7 @@
     const pauseMs = (): number => this.#fleetExchange.hasWatchDuty() ? 0 : WATCH_DUTY_CHECK_INTERVAL_MS
     const watchOptions = { store: this.#store, clock: this.#clock, logger: this.#logger, pauseMs }
     this.#configurationWatch = new configurations.ConfigurationWatch(watchOptions, (table) => { this.#applyAgreement(table) })
-    this.#targetWatch = new targetWatches.TargetWatch(watchOptions, this.#targetBoard)
+    this.#targetWatch = new targetWatches.TargetWatch(watchOptions, this.#targetBoard, this.#coldTargets)
     this.#tokenPages = new tokenPageClients.TokenPageClient({
       ...watchOptions,
       incarnation: this.#incarnation,
@@ -319,6 +326,7 @@
       store: this.#store,
       promptParts: this.#promptParts,
       targetLimits: this.#targetLimits,
+      coldTargets: this.#coldTargets,
       member: () => this.#member(),
       fetchState: (peerAddress) => { void this.#peerTask.fetchState(peerAddress) }
     })
@@ -354,6 +362,7 @@
       logger: this.#logger,
       board: this.#targetBoard,
       targetLimits: this.#targetLimits,
+      coldTargets: this.#coldTargets,
       targetRests: new decisions.targetRests.TargetRests(),
       permits: this.#targetPermits,
       slots: new connectionSlots.ConnectionSlots(connectionLimit),
@@ -398,6 +407,7 @@
       livePeers: () => this.#peerTable.liveHeartbeats(this.#clock.now()).length,
       heldPromptParts: () => this.#promptParts.heldParts,
       limitedTargets: () => this.#targetLimits.size,
+      coldTargets: () => this.#coldTargets.count(this.#clock.now()),
       freeTokens: () => this.#tokenTask.freeTokens(),
       storeCalls: () => this.#store.callCounts,
       droppedLogLines: this.#options.log.droppedLines
--- a/packages/gateway/src/target-chooser.ts
+++ b/packages/gateway/src/target-chooser.ts
@@ -22,6 +22,7 @@
   board: decisions.targetBoard.TargetBoard
   targetLimits: decisions.targetLimits.TargetLimits
   targetRests: decisions.targetRests.TargetRests
+  coldTargets: decisions.coldTargets.ColdTargets
   permits: targetPermits.TargetPermits
   slots: connectionSlots.ConnectionSlots
   leavingAdmission: decisions.leavingAdmission.LeavingAdmission
@@ -113,6 +114,7 @@
     const run = targetLifetime(target)
     call.limitPerSecond = answer.limitPerSecond
     if (targetLimits.recordAnswer(run, answer.limitPerSecond, sentAt, clock.now())) announce()
+    if (answer.coldMs !== undefined && this.#options.coldTargets.recordAnswer(target, answer.coldMs, clock.now())) announce()
     if (answer.isLeaving && board.markRunLeaving(target)) {
       logger.info({ event: 'target-leaving', target: run, service: target.service, address: target.address, source: 'answer' })
       announce()
@@ -123,14 +125,14 @@
   }
 
   #choose (call: calls.Call, triedTargets: ReadonlySet<string>): decisions.placement.Placement | undefined {
-    const { board, clock, slots } = this.#options
+    const { board, clock, coldTargets, slots } = this.#options
     const now = clock.now()
     const placement = decisions.placement.chooseTarget(board, {
       service: call.service,
       sharedParts: call.request.promptParts.slice(0, -1),
       promptTokens: call.request.promptTokens ?? 0,
       availabilityZone: this.#options.availabilityZone
-    }, triedTargets, now, ({ entry }) => this.#isAllowed(call, entry) && slots.hasRoom(entry))
+    }, triedTargets, now, ({ entry }) => this.#isAllowed(call, entry) && slots.hasRoom(entry), ({ entry }) => coldTargets.phaseOf(entry, now)?.share ?? 0)
     const isLastResort = placement !== undefined && placement.target.backoffUntil > now
     if (isLastResort && this.#fullTargets(call, triedTargets).some((target) => target.backoffUntil <= now)) return undefined
     return placement?.copyFrom !== undefined && this.#isResting(placement.copyFrom.entry) ? { target: placement.target } : placement
--- a/packages/gateway/src/target-permits.ts
+++ b/packages/gateway/src/target-permits.ts
@@ -11,27 +11,40 @@
 /** Time for which the most urgent requests wait for a permit, in milliseconds. Those of rank 1 wait half as long, and so on. */
 const MAXIMUM_WAIT_MS = 1000
 
+/** Least time between a denial and the next question, in milliseconds. */
+const MINIMUM_DENIAL_MS = 1
+
 /** Denials above which those that are over are forgotten. */
 const MAXIMUM_DENIALS = 500
 
 type Entry = decisions.agreementTypes.TargetEntry
 
+/** The rate to which a target is held, and the name under which its keeper knows it. */
+interface Limit {
+  target: string
+  perSecond: number
+  isCold: boolean
+}
+
 export interface TargetPermitsOptions {
   clock: decisions.clock.Clock
   limits: decisions.targetLimits.TargetLimits
-  view: Pick<fleetViews.FleetView, 'gatewayCount' | 'keeperOf' | 'reachableShare'>
+  coldTargets: decisions.coldTargets.ColdTargets
+  random: decisions.random.RandomSource
+  view: Pick<fleetViews.FleetView, 'gatewayCount' | 'isIntroduced' | 'keeperOf' | 'knownGatewayCount' | 'reachableShare'>
   /** Asks the gateway that keeps a target's limit. Rejects if it does not answer. */
   requestPermit: (peerAddress: string, request: routers.gatewayMessages.PermitRequest) => Promise<routers.gatewayMessages.PermitReply>
-  onOutcome: (outcome: 'granted' | 'denied' | 'unreachable') => void
+  onOutcome: (outcome: 'granted' | 'denied' | 'unreachable' | 'own-share') => void
 }
 
 /**
- * Keeps all gateways together within the limits that targets name. One gateway keeps the limit of each target, chosen by rendezvous hashing among
+ * Keeps all gateways together within the limits that targets name, and within the rate of those that are cold. One gateway keeps the limit of each target, chosen by rendezvous hashing among
  * the live ones, and grants a permit for each request; the others ask it before they send.
  */
 export class TargetPermits {
   readonly #options: TargetPermitsOptions
   readonly #issuer = new decisions.targetLimits.PermitIssuer()
+  readonly #unreachedShares: decisions.targetLimits.UnreachedShares
   /** Time until which no permit is asked for, by target. */
   readonly #deniedUntil = new Map<string, number>()
   /** Ranks of the requests that wait for a permit, by service. */
@@ -39,6 +52,7 @@
 
   constructor (options: TargetPermitsOptions) {
     this.#options = options
+    this.#unreachedShares = new decisions.targetLimits.UnreachedShares(options.random)
   }
 
   /** Returns true if a request may be sent to a target, or may ask for a permit to do so. */
@@ -50,21 +64,20 @@
 
   /** Resolves with true if one request may be sent to a target now. */
   async acquire (entry: Entry): Promise<boolean> {
-    const perSecond = this.#limitOf(entry)
-    if (perSecond === undefined) return true
+    const limit = this.#limitOf(entry)
+    if (limit === undefined) return true
     // While one request asks, the others go to other targets.
     this.#deniedUntil.set(entry.id, Infinity)
-    const permit = await this.#requestPermit(decisions.agreementTypes.targetLifetime(entry), perSecond)
+    const permit = await this.#requestPermit(limit)
     if (permit.isGranted) this.#deniedUntil.delete(entry.id)
-    else this.#deniedUntil.set(entry.id, this.#options.clock.now() + permit.retryAfterMs)
+    else this.#deniedUntil.set(entry.id, this.#options.clock.now() + Math.max(MINIMUM_DENIAL_MS, permit.retryAfterMs))
     this.#forgetPastDenials()
     return permit.isGranted
   }
 
   /** Answers another gateway that takes this one for the keeper of a target's limit. */
-  answer ({ target, perSecond }: routers.gatewayMessages.PermitRequest): routers.gatewayMessages.PermitReply {
-    if (this.#options.view.keeperOf(target) !== undefined) return { isGranted: false, retryAfterMs: WRONG_KEEPER_PAUSE_MS }
-    return this.#issuer.request(target, perSecond, this.#options.view.reachableShare(), this.#options.clock.now())
+  answer (limit: routers.gatewayMessages.PermitRequest): routers.gatewayMessages.PermitReply {
+    return this.#options.view.keeperOf(limit.target) === undefined ? this.#issue(limit) : { isGranted: false, retryAfterMs: WRONG_KEEPER_PAUSE_MS }
   }
 
   /**
@@ -76,7 +89,7 @@
     if (limits.length === 0) return undefined
     const now = this.#options.clock.now()
     const nextMs = Math.min(...entries.map((entry) => (this.#deniedUntil.get(entry.id) ?? 0) - now))
-    const permitsPerSecond = limits.reduce((sum, limit) => sum + limit, 0) / this.#options.view.gatewayCount()
+    const permitsPerSecond = limits.reduce((sum, limit) => sum + limit.perSecond, 0) / this.#options.view.gatewayCount()
     const queuedMs = this.#ranksWaitingFor(entries[0].service).length / Math.max(permitsPerSecond, decisions.targetLimits.MINIMUM_RATE_PER_SECOND) * 1000
     return Math.max(0, nextMs === Infinity ? 0 : nextMs) + queuedMs
   }
@@ -104,25 +117,43 @@
     }
   }
 
-  #limitOf (entry: Entry): number | undefined {
-    if (this.#options.limits.isEmpty) return undefined
-    return this.#options.limits.limitOf(decisions.agreementTypes.targetLifetime(entry))
+  #limitOf (entry: Entry): Limit | undefined {
+    const { clock, coldTargets, limits } = this.#options
+    const target = decisions.agreementTypes.targetLifetime(entry)
+    const named = limits.isEmpty ? undefined : limits.limitOf(target)
+    const phase = coldTargets.phaseOf(entry, clock.now())
+    if (phase !== undefined) return { target: phase.run, perSecond: Math.min(named ?? Infinity, phase.perSecond), isCold: true }
+    return named === undefined ? undefined : { target, perSecond: named, isCold: false }
+  }
+
+  /** Grants or denies a permit as the keeper. A gateway that does not know the others yet may not be the keeper of a cold target. */
+  #issue ({ target, perSecond, isCold }: Limit): decisions.targetLimits.Permit {
+    const { clock, view } = this.#options
+    if (isCold && !view.isIntroduced()) return { isGranted: false, retryAfterMs: WRONG_KEEPER_PAUSE_MS }
+    return this.#issuer.request(target, perSecond, view.reachableShare(), clock.now(), isCold)
   }
 
   #ranksWaitingFor (service: string): readonly number[] {
     return this.#waitingRanks.get(service) ?? []
   }
 
-  async #requestPermit (target: string, perSecond: number): Promise<decisions.targetLimits.Permit> {
-    const { clock, onOutcome, requestPermit, view } = this.#options
-    const keeper = view.keeperOf(target)
+  async #requestPermit (limit: Limit): Promise<decisions.targetLimits.Permit> {
+    const { onOutcome, requestPermit, view } = this.#options
+    const keeper = view.keeperOf(limit.target)
     try {
-      const permit = keeper === undefined ? this.#issuer.request(target, perSecond, view.reachableShare(), clock.now()) : await requestPermit(keeper, { target, perSecond })
+      const permit = keeper === undefined ? this.#issue(limit) : await requestPermit(keeper, limit)
       onOutcome(permit.isGranted ? 'granted' : 'denied')
       return permit
     } catch {
       onOutcome('unreachable')
-      return { isGranted: false, retryAfterMs: UNREACHABLE_PAUSE_MS }
+      return limit.isCold ? this.#useOwnShare(limit) : { isGranted: false, retryAfterMs: UNREACHABLE_PAUSE_MS }
     }
   }
+
+  #useOwnShare ({ target, perSecond }: Limit): decisions.targetLimits.Permit {
+    const { clock, onOutcome, view } = this.#options
+    const { isGranted, retryAfterMs } = this.#unreachedShares.request(target, perSecond, view.knownGatewayCount(), clock.now())
+    if (isGranted) onOutcome('own-share')
+    return { isGranted, retryAfterMs: Math.min(UNREACHABLE_PAUSE_MS, retryAfterMs) }
+  }
 }
--- a/packages/gateway/src/target-watch.ts
+++ b/packages/gateway/src/target-watch.ts
@@ -12,6 +12,7 @@
 /** Watches the registered targets and applies their changes to the board. */
 export class TargetWatch extends watches.ObjectWatch {
   readonly #board: decisions.targetBoard.TargetBoard
+  readonly #coldTargets: decisions.coldTargets.ColdTargets
   readonly #clock: decisions.clock.Clock
   /** Store revision of the last entry read for each target, by target ID. */
   readonly #entryRevisions = new Map<string, number>()
@@ -21,9 +22,10 @@
   #listedEpoch = 0
   #version = decisions.storeVersion.NO_VERSION
 
-  constructor (options: Omit<watches.ObjectWatchOptions, 'kind'>, board: decisions.targetBoard.TargetBoard) {
+  constructor (options: Omit<watches.ObjectWatchOptions, 'kind'>, board: decisions.targetBoard.TargetBoard, coldTargets: decisions.coldTargets.ColdTargets) {
     super({ ...options, kind: adapter.objectKinds.ObjectKind.targets })
     this.#board = board
+    this.#coldTargets = coldTargets
     this.#clock = options.clock
   }
 
@@ -45,6 +47,7 @@
     if (!decisions.storeVersion.isNewer(version, this.#version)) return
     this.logger.info({ event: 'targets-from-gateway', ...version, previous: this.#version, targets: entries.length })
     this.#version = version
+    this.#recordColdPhases(entries, false)
     this.#board.replaceEntries(entries)
   }
 
@@ -58,6 +61,7 @@
     const present = new Set(entries.map((entry) => entry.id))
     const missing = this.#board.entries().filter((entry) => !present.has(entry.id))
     this.logger.info({ event: 'targets-listed', revision, targets: entries.length, missing: missing.length, afterOutage })
+    this.#recordColdPhases(entries, false)
     for (const entry of entries) this.#board.upsertEntry(entry)
     if (!afterOutage) {
       for (const entry of missing) this.#remove(entry.id, revision)
@@ -87,9 +91,15 @@
     if (known === undefined || known.entry.leaving !== entry.leaving) {
       this.logger.info({ event: entry.leaving ? 'target-leaving' : 'target-found', target: entry.id, service: entry.service, address: entry.address, revision: object.revision })
     }
+    this.#recordColdPhases([entry], true)
     this.#board.upsertEntry(entry)
   }
 
+  #recordColdPhases (entries: decisions.agreementTypes.TargetEntry[], isChange: boolean): void {
+    const now = this.#clock.now()
+    for (const entry of entries) this.#coldTargets.recordEntry(entry, isChange, now)
+  }
+
   #remove (id: string, revision: number): void {
     const removed = this.#board.get(id)
     if (removed === undefined) return
--- a/packages/gateway/test/heartbeat-socket.test.ts
+++ b/packages/gateway/test/heartbeat-socket.test.ts
@@ -14,7 +14,7 @@
   const sender = { host: 'one', incarnation: 'one-1', peerAddress, callerAddress: '', availabilityZone: 'a', leaving: false, ready: true, load: 0.25, storeSilenceMs: 7, processorShare: 0.5, knowledgeAgeMs: 21 }
   const promptParts = [{ part: 'a1', crashes: [{ target: 'engine-1', ageMs: 30, seenBy: 'two' }], answeredAgeMs: -1, testedAgeMs: 9, failedTests: 1 }]
   const work = [{ id: 'engine-1', requests: 2, unreadTokens: 900 }]
-  return { sender, heard: [{ peerAddress: '10.0.0.9:1', ageMs: 40 }], agreementVersion: 3, targetsRevision: 80, targetsEpoch: 2, storeEpoch: 3, pageEpoch: 2, drawnTokens: { depot: 7 }, drawnChange: 5, work, freeTokens: { depot: 12 }, spending: { depot: 4 }, leavingTargets: ['engine-2'], promptParts, targetLimits: [{ target: 'engine-3', perSecond: 0.5, ageMs: 12 }], sequence: 5, asksForAnswer: true }
+  return { sender, heard: [{ peerAddress: '10.0.0.9:1', ageMs: 40 }], agreementVersion: 3, targetsRevision: 80, targetsEpoch: 2, storeEpoch: 3, pageEpoch: 2, drawnTokens: { depot: 7 }, drawnChange: 5, work, freeTokens: { depot: 12 }, spending: { depot: 4 }, leavingTargets: ['engine-2'], promptParts, targetLimits: [{ target: 'engine-3', perSecond: 0.5, ageMs: 12 }], coldTargets: [{ target: 'engine-4', startedAt: 7, remainingMs: 900, ageMs: 30 }], sequence: 5, asksForAnswer: true }
 }
 
 describe('heartbeat socket', () => {
--- a/packages/gateway/test/restored-store.test.ts
+++ b/packages/gateway/test/restored-store.test.ts
@@ -117,7 +117,7 @@
   for (const { name, known, heard, isTaken } of cases) {
     it(name, () => {
       const board = new decisions.targetBoard.TargetBoard()
-      const watch = new targetWatches.TargetWatch({ store: new stores.FakePageStore(), clock: new stores.ManualClock() as decisions.clock.Clock, logger: runtime.logging.createLogger('silent'), pauseMs: () => 0 }, board)
+      const watch = new targetWatches.TargetWatch({ store: new stores.FakePageStore(), clock: new stores.ManualClock() as decisions.clock.Clock, logger: runtime.logging.createLogger('silent'), pauseMs: () => 0 }, board, new decisions.coldTargets.ColdTargets(() => undefined, () => {}))
       watch.applyFromPeer([], { epoch: known[0], revision: known[1] })
       watch.applyFromPeer([{ id: 'engine-1', service: 'engines', address: '10.0.0.1:1', availabilityZone: 'zone-a', slots: 4, leaving: false }], { epoch: heard[0], revision: heard[1] })
       expect(board.entries().length).to.equal(isTaken ? 1 : 0)
--- a/packages/gateway/test/target-chooser.test.ts
+++ b/packages/gateway/test/target-chooser.test.ts
@@ -44,6 +44,7 @@
         leavingAdmission: new decisions.leavingAdmission.LeavingAdmission(),
         logger: runtime.logging.createLogger('silent'),
         targetLimits: new decisions.targetLimits.TargetLimits(() => {}),
+        coldTargets: new decisions.coldTargets.ColdTargets(() => undefined, () => {}),
         targetRests: new decisions.targetRests.TargetRests(),
         availabilityZone: 'zone-a',
         announce: () => {}
--- a/packages/gateway/test/target-permits.test.ts
+++ b/packages/gateway/test/target-permits.test.ts
@@ -25,7 +25,9 @@
   setting.permits = new targetPermits.TargetPermits({
     clock,
     limits,
-    view: { gatewayCount: () => 4, keeperOf: () => reply === undefined ? undefined : '10.0.0.2:1', reachableShare: () => 1 },
+    coldTargets: new decisions.coldTargets.ColdTargets(() => undefined, () => {}),
+    random: new decisions.random.SeededRandom(1),
+    view: { gatewayCount: () => 4, isIntroduced: () => true, knownGatewayCount: () => 4, keeperOf: () => reply === undefined ? undefined : '10.0.0.2:1', reachableShare: () => 1 },
     requestPermit: async () => {
       setting.asked += 1
       if (reply === undefined) throw new Error('not used')
@@ -69,7 +71,7 @@
 
   it('are denied to others by a gateway that does not keep the limit', () => {
     const { permits } = create(() => ({ isGranted: true, retryAfterMs: 0 }))
-    expect(permits.answer({ target: 't', perSecond: 1000 }).isGranted).to.equal(false)
+    expect(permits.answer({ target: 't', perSecond: 1000, isCold: false }).isGranted).to.equal(false)
   })
 
   it('go to more urgent requests first', () => {
--- a/packages/routers/src/gateway-messages.ts
+++ b/packages/routers/src/gateway-messages.ts
@@ -63,6 +63,8 @@
   promptParts: decisions.promptPartBoard.PromptPartReport[]
   /** Limits that targets have named, as far as the sender knows. */
   targetLimits: decisions.targetLimits.TargetLimitReport[]
+  /** Targets that are cold, as far as the sender knows. */
+  coldTargets: decisions.coldTargets.ColdTargetReport[]
   /** Increases with each heartbeat of the incarnation, because datagrams may arrive out of order. */
   sequence: number
   /** Requests a heartbeat in return. */
@@ -123,6 +125,8 @@
   target: string
   /** The limit as the sender knows it, in requests a second. */
   perSecond: number
+  /** The limit is that of a cold target, which crashes above it. */
+  isCold: boolean
 }
 
 /** Whether the request may be sent, and otherwise when to ask again. */
