--- a/packages/decisions/src/cold-targets.ts
+++ b/packages/decisions/src/cold-targets.ts
@@ -4,7 +4,7 @@
 const NEWER_BY_MS = 500
 
 /** Age of a word that may have been in the store for any time, in milliseconds. Every other word on the same run is newer. */
-const UNKNOWN_AGE_MS = 60_000
+const UNKNOWN_AGE_MS = 1_000_000_000
 
 /** Time for which routers are told that a target became warm before the announced time, in milliseconds. */
 const WARM_REPORT_MS = 5000
--- a/packages/decisions/src/target-limits.ts
+++ b/packages/decisions/src/target-limits.ts
@@ -10,7 +10,7 @@
 const BURST_SECONDS = 0.5
 
 /** Share of a cold target's rate that its keeper grants. A cold target crashes above its rate, and two routers may take themselves for its keeper. */
-const COLD_KEEPER_SHARE = 0.7
+const COLD_KEEPER_SHARE = 0.65
 
 /** Share of that rate that all routers together use that can't reach the keeper. */
 const COLD_UNREACHED_SHARE = 0.1
