--- a/packages/routers/src/gateway-messages.ts
+++ b/packages/routers/src/gateway-messages.ts
@@ -65,6 +65,11 @@
   targetLimits: decisions.targetLimits.TargetLimitReport[]
   /** Targets that are cold, as far as the sender knows. */
   coldTargets: decisions.coldTargets.ColdTargetReport[]
+  /** Evacuated zones as of `evacuationsRevision`. */
+  evacuatedZones: string[]
+  evacuationsRevision: number
+  /** Epoch of the store to which `evacuationsRevision` belongs; 0 if the sender knows nothing of evacuations. */
+  evacuationsEpoch: number
   /** Increases with each heartbeat of the incarnation, because datagrams may arrive out of order. */
   sequence: number
   /** Requests a heartbeat in return. */
