Let no leaving gateway keep a rate while one that stays is live

Change: gateways that leave choose among those that stay, and among all only when none stays. Holds for named limits too.

--- a/packages/gateway/src/fleet-view.ts
+++ b/packages/gateway/src/fleet-view.ts
@@ -26,15 +26,17 @@
   readonly #peers: peerTables.PeerTable
   readonly #clock: decisions.clock.Clock
   readonly #startedAt: number
+  readonly #isLeaving: () => boolean
   readonly #watchDuty = new decisions.watchDuty.WatchDuty()
   #largeFleet: LargeFleet | undefined
   #hasKnownFleet = false
 
-  constructor (self: decisions.tokenHolders.HolderCandidate, peers: peerTables.PeerTable, clock: decisions.clock.Clock) {
+  constructor (self: decisions.tokenHolders.HolderCandidate, peers: peerTables.PeerTable, clock: decisions.clock.Clock, isLeaving: () => boolean) {
     this.#self = self
     this.#peers = peers
     this.#clock = clock
     this.#startedAt = clock.now()
+    this.#isLeaving = isLeaving
   }
 
   /** Returns false while this gateway has not heard most gateways of a large fleet, so that it can't tell which of them acts for the others. */
@@ -86,15 +88,19 @@
     return decisions.hashing.rendezvousOrder(names, key, (name) => name).indexOf(this.#self.name)
   }
 
-  /** Returns the peer address of the gateway that keeps a target's limit for all; undefined if that is this gateway. */
+  /**
+   * Returns the peer address of the gateway that keeps a target's limit for all; undefined if that is this gateway. One that leaves keeps it only
+   * while none that stays is live.
+   */
   keeperOf (target: string): string | undefined {
-    const others = this.#live().map(({ sender }) => sender).filter((sender) => !sender.leaving)
-    const members = [{ host: this.#self.name, peerAddress: undefined }, ...others]
-    return decisions.hashing.rendezvousOrder(members, target, (member) => member.host)[0].peerAddress
+    const self = { host: this.#self.name, peerAddress: undefined, leaving: this.#isLeaving() }
+    const members = [self, ...this.#live().map(({ sender }) => sender)]
+    const staying = members.filter(({ leaving }) => !leaving)
+    return decisions.hashing.rendezvousOrder(staying.length > 0 ? staying : members, target, (member) => member.host)[0].peerAddress
   }
 
   /** Returns the live share of all gateways that this one has heard lately, itself included. */
-  reachableShare (): number {
+  reachableShare (_countsUnheard: boolean): number {
     const live = this.#live().filter(({ sender }) => !sender.leaving).length
     return (1 + live) / (1 + Math.max(live, this.#peers.knownGateways()))
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -121,7 +121,7 @@
       ({ isCold, ...change }) => { this.#logger.info({ event: isCold ? 'target-cold' : 'target-warm', ...change }) }
     )
     this.#peerTable = new peerTables.PeerTable(options.settings.peerListen)
-    this.#fleetView = new fleetViews.FleetView({ name: options.settings.host, availabilityZone: options.settings.availabilityZone, processorShare: options.settings.processorShare }, this.#peerTable, this.#clock)
+    this.#fleetView = new fleetViews.FleetView({ name: options.settings.host, availabilityZone: options.settings.availabilityZone, processorShare: options.settings.processorShare }, this.#peerTable, this.#clock, () => this.#isLeaving)
     this.#targetPermits = new targetPermits.TargetPermits({
       clock: this.#clock,
       limits: this.#targetLimits,
--- a/packages/gateway/src/target-permits.ts
+++ b/packages/gateway/src/target-permits.ts
@@ -130,7 +130,7 @@
   #issue ({ target, perSecond, isCold }: Limit): decisions.targetLimits.Permit {
     const { clock, view } = this.#options
     if (isCold && !view.isIntroduced()) return { isGranted: false, retryAfterMs: WRONG_KEEPER_PAUSE_MS }
-    return this.#issuer.request(target, perSecond, view.reachableShare(), clock.now(), isCold)
+    return this.#issuer.request(target, perSecond, view.reachableShare(isCold), clock.now(), isCold)
   }
 
   #ranksWaitingFor (service: string): readonly number[] {
