Let a gateway that hears nobody use only its own share of a cold rate

Cause: the share of a gateway counted only peers that had been heard, so one that had just restarted and heard nobody granted the whole rate beside the real keeper. Change: addresses at which none has been heard count in the share of a cold rate and in the number of known gateways; with no peer heard but addresses known, the gateway denies others and uses its own share. The share of a named limit is as before, as are gateways without addresses.

--- a/packages/gateway/src/fleet-view.ts
+++ b/packages/gateway/src/fleet-view.ts
@@ -62,9 +62,9 @@
     return 1 + this.#live().length
   }
 
-  /** Returns the number of gateways that are live or have fallen silent lately, this one included. */
+  /** Returns the number of gateways that are live, have fallen silent lately, or have an address at which none has been heard, this one included. */
   knownGatewayCount (): number {
-    return 1 + Math.max(this.#live().length, this.#peers.knownGateways())
+    return 1 + Math.max(this.#live().length, this.#peers.knownGateways()) + this.#peers.unheardGateways()
   }
 
   /** Returns the other live gateways that accept callers. */
@@ -99,10 +99,14 @@
     return decisions.hashing.rendezvousOrder(staying.length > 0 ? staying : members, target, (member) => member.host)[0].peerAddress
   }
 
-  /** Returns the live share of all gateways that this one has heard lately, itself included. */
-  reachableShare (_countsUnheard: boolean): number {
+  /**
+   * Returns the live share of all gateways that this one has heard lately, itself included. `countsUnheard` adds the addresses at which none has
+   * been heard, as a gateway that has just started may not be heard either.
+   */
+  reachableShare (countsUnheard: boolean): number {
     const live = this.#live().filter(({ sender }) => !sender.leaving).length
-    return (1 + live) / (1 + Math.max(live, this.#peers.knownGateways()))
+    const unheard = countsUnheard ? this.#peers.unheardGateways() : 0
+    return (1 + live) / (1 + Math.max(live, this.#peers.knownGateways()) + unheard)
   }
 
   /**
--- a/packages/gateway/src/peer-table.ts
+++ b/packages/gateway/src/peer-table.ts
@@ -152,6 +152,11 @@
     return [...this.#peers.values()].filter((peer) => peer.heartbeat !== undefined && !peer.heartbeat.sender.leaving).length
   }
 
+  /** Returns the number of addresses at which no gateway has been heard, until they are forgotten. */
+  unheardGateways (): number {
+    return [...this.#peers.values()].filter((peer) => peer.heartbeat === undefined).length
+  }
+
   /** Returns the live gateways that accept callers. */
   servingGateways (now: number): Member[] {
     return this.liveHeartbeats(now).map((heartbeat) => heartbeat.sender).filter((member) => member.ready && !member.leaving)
--- a/packages/gateway/src/target-permits.ts
+++ b/packages/gateway/src/target-permits.ts
@@ -129,10 +129,16 @@
   /** Grants or denies a permit as the keeper. A gateway that does not know the others yet may not be the keeper of a cold target. */
   #issue ({ target, perSecond, isCold }: Limit): decisions.targetLimits.Permit {
     const { clock, view } = this.#options
-    if (isCold && !view.isIntroduced()) return { isGranted: false, retryAfterMs: WRONG_KEEPER_PAUSE_MS }
+    if (isCold && (!view.isIntroduced() || this.#hasHeardNobody())) return { isGranted: false, retryAfterMs: WRONG_KEEPER_PAUSE_MS }
     return this.#issuer.request(target, perSecond, view.reachableShare(isCold), clock.now(), isCold)
   }
 
+  /** Returns true if this gateway knows addresses of others but has heard none, so that another one may keep the limit. */
+  #hasHeardNobody (): boolean {
+    const { view } = this.#options
+    return view.gatewayCount() === 1 && view.reachableShare(false) === 1 && view.reachableShare(true) < 1
+  }
+
   #ranksWaitingFor (service: string): readonly number[] {
     return this.#waitingRanks.get(service) ?? []
   }
@@ -141,6 +147,7 @@
     const { onOutcome, requestPermit, view } = this.#options
     const keeper = view.keeperOf(limit.target)
     try {
+      if (keeper === undefined && limit.isCold && view.isIntroduced() && this.#hasHeardNobody()) return this.#useOwnShare(limit)
       const permit = keeper === undefined ? this.#issue(limit) : await requestPermit(keeper, limit)
       onOutcome(permit.isGranted ? 'granted' : 'denied')
       return permit
