Compare the runs of cold targets for equality only

Cause: a run whose clock names an earlier start than the one before was never cold, as the later start won. Change: a changed registration counts whichever run it names. A listed one of another run, or another router's word on another run, makes a target cold but not warm. An answer of another run counts only where it says that a warm target is cold.

--- a/packages/decisions/src/cold-targets.ts
+++ b/packages/decisions/src/cold-targets.ts
@@ -77,35 +77,40 @@
   }
 
   /**
-   * Records the registration of a target. One that is read again unchanged is no news. A later run whose registration does not say how long it
+   * Records the registration of a target. One that is read again unchanged is no news. Start times are compared for equality only, as clocks of
+   * hosts differ: a changed registration is about the latest run. Another run whose registration does not say how long it
    * is cold is so for a whole cold start. `isChange` tells that the registration has just changed; one from a list may be as old as the run.
    */
   recordEntry (entry: types.TargetEntry, isChange: boolean, now: number): void {
     const startedAt = entry.startedAt ?? 0
     const known = this.#words.get(entry.id)
-    if (known !== undefined && known.startedAt > startedAt) return
     if (known?.startedAt === startedAt && (entry.coldMs === undefined || entry.coldMs === known.entryMs)) return
     const assumedMs = known === undefined ? 0 : this.#coldStartOf(entry.service)?.milliseconds ?? 0
-    this.#set(entry.id, { startedAt, saidAt: isChange ? now : now - UNKNOWN_AGE_MS, remainingMs: entry.coldMs ?? assumedMs, entryMs: entry.coldMs }, ColdSource.entry, now)
+    const statedMs = entry.coldMs ?? assumedMs
+    // A list does not tell which run is the later one.
+    const remainingMs = isChange || known?.startedAt === startedAt ? statedMs : Math.max(statedMs, this.remainingMs(entry.id, now))
+    this.#set(entry.id, { startedAt, saidAt: isChange ? now : now - UNKNOWN_AGE_MS, remainingMs, entryMs: entry.coldMs }, ColdSource.entry, now)
   }
 
   /** Records what a target said of itself in an answer. Returns true if other routers should hear of it at once. */
   recordAnswer (entry: types.TargetEntry, remainingMs: number, now: number): boolean {
     const startedAt = entry.startedAt ?? 0
     const known = this.#words.get(entry.id)
-    if (known !== undefined && known.startedAt > startedAt) return false
-    const wasCold = known?.startedAt === startedAt && known.coldUntil > now
+    const isCold = known !== undefined && known.coldUntil > now
+    if (known !== undefined && known.startedAt !== startedAt && (isCold || remainingMs === 0)) return false
+    const wasCold = known?.startedAt === startedAt && isCold
     this.#set(entry.id, { startedAt, saidAt: now, remainingMs, entryMs: known?.entryMs }, ColdSource.answer, now)
     return wasCold !== (remainingMs > 0)
   }
 
-  /** Takes over what another router reported, where it is about a later run or newer. */
+  /** Takes over what another router reported, where it is newer, or about another run that stays cold for longer. */
   merge (reports: readonly ColdTargetReport[], now: number): void {
     for (const { target, startedAt, remainingMs, ageMs } of reports) {
       const known = this.#words.get(target)
       const saidAt = now - ageMs
       const isSameRun = known?.startedAt === startedAt
-      if (known !== undefined && (isSameRun ? saidAt <= known.saidAt + NEWER_BY_MS : startedAt < known.startedAt)) continue
+      const isNewer = known === undefined || saidAt > known.saidAt + NEWER_BY_MS
+      if (isSameRun ? !isNewer : remainingMs <= (isNewer ? 0 : this.remainingMs(target, now))) continue
       this.#set(target, { startedAt, saidAt, remainingMs, entryMs: isSameRun ? known.entryMs : undefined }, ColdSource.router, now)
     }
   }
@@ -123,7 +128,7 @@
   /** Returns the cold phase of a target; undefined if it is warm, or its service has no cold start. */
   phaseOf (entry: types.TargetEntry, now: number): ColdPhase | undefined {
     const word = this.#words.get(entry.id)
-    if (word === undefined || word.coldUntil <= now || (entry.startedAt ?? 0) > word.startedAt) return undefined
+    if (word === undefined || word.coldUntil <= now) return undefined
     const coldStart = this.#coldStartOf(entry.service)
     if (coldStart === undefined) return undefined
     return { run: types.targetLifetime({ ...entry, startedAt: word.startedAt === 0 ? undefined : word.startedAt }), perSecond: coldStart.perSecond, share: Math.min(1, (word.coldUntil - now) / coldStart.milliseconds) }
--- a/packages/decisions/test/cold-targets.test.ts
+++ b/packages/decisions/test/cold-targets.test.ts
@@ -32,7 +32,12 @@
     { name: 'are learned from another router', prepare: (known) => { known.recordEntry(entry(1, 0), true, 0); known.merge([report(2, 2500, 100)], 1000) }, at: 1000, remainingMs: 2500 },
     { name: 'do not stay cold by their own word that comes back late', prepare: (known) => { known.recordEntry(entry(1, 3000), true, 0); known.merge([report(1, 2900, 100)], 400) }, at: 400, remainingMs: 2600 },
     { name: 'are warm by the newer word of another router', prepare: (known) => { known.recordEntry(entry(1, 3000), true, 0); known.merge([report(1, 0, 100)], 1500) }, at: 1500, remainingMs: 0 },
-    { name: 'are not cold again by an old entry that another router has listed', prepare: (known) => { known.recordEntry(entry(1, 0), true, 0); const other = new cold.ColdTargets(() => COLD_START, () => {}); other.recordEntry(entry(1, 3000), false, 0); known.merge(other.reports(100), 900_000) }, at: 900_000, remainingMs: 0 }
+    { name: 'are not cold again by an old entry that another router has listed', prepare: (known) => { known.recordEntry(entry(1, 0), true, 0); const other = new cold.ColdTargets(() => COLD_START, () => {}); other.recordEntry(entry(1, 3000), false, 0); known.merge(other.reports(100), 900_000) }, at: 900_000, remainingMs: 0 },
+    { name: 'are cold by a changed entry of a run that started earlier by its clock', prepare: (known) => { known.recordEntry(entry(9, 0), true, 0); known.recordEntry(entry(5, 3000), true, 1000) }, at: 1000, remainingMs: 3000 },
+    { name: 'are cold by a listed entry of a run that started earlier by its clock', prepare: (known) => { known.recordEntry(entry(9, 0), true, 0); known.recordEntry(entry(5, 3000), false, 1000) }, at: 1000, remainingMs: 3000 },
+    { name: 'are cold by another router that knows of a run that started earlier by its clock', prepare: (known) => { known.recordEntry(entry(9, 0), true, 0); known.merge([report(5, 2500, 100)], 1000) }, at: 1000, remainingMs: 2500 },
+    { name: 'are not warm by the newer word of another router on another run', prepare: (known) => { known.recordEntry(entry(5, 3000), true, 0); known.merge([report(2, 0, 100)], 1000) }, at: 1000, remainingMs: 2000 },
+    { name: 'are cold by the answers of a run that started earlier by its clock', prepare: (known) => { known.recordEntry(entry(9, 0), true, 0); known.recordEntry(entry(5, 0), true, 1000); known.recordAnswer(entry(5, 0), 2000, 1100) }, at: 1100, remainingMs: 2000 }
   ]
   for (const { name, prepare, at, remainingMs } of cases) {
     it(name, () => {
