Let no list make a cold target warm against a newer word

Cause: a listed entry, or the state of another gateway without a word, replaced a newer word on the same run, so that a cold target was taken for warm. Change: a list may make a target cold, or cold for longer, as after a missed change, but never warm or cold for less time.

--- a/packages/decisions/src/cold-targets.ts
+++ b/packages/decisions/src/cold-targets.ts
@@ -87,8 +87,10 @@
     if (known?.startedAt === startedAt && (entry.coldMs === undefined || entry.coldMs === known.entryMs)) return
     const assumedMs = known === undefined ? 0 : this.#coldStartOf(entry.service)?.milliseconds ?? 0
     const statedMs = entry.coldMs ?? assumedMs
-    // A list does not tell which run is the later one.
-    const remainingMs = isChange || known?.startedAt === startedAt ? statedMs : Math.max(statedMs, this.remainingMs(entry.id, now))
+    const leftMs = this.remainingMs(entry.id, now)
+    if (!isChange && known?.startedAt === startedAt && statedMs <= leftMs) return
+    // A list may miss the latest change, so that it makes no target warm.
+    const remainingMs = isChange ? statedMs : Math.max(statedMs, leftMs)
     this.#set(entry.id, { startedAt, saidAt: isChange ? now : now - UNKNOWN_AGE_MS, remainingMs, entryMs: entry.coldMs }, ColdSource.entry, now)
   }
 
--- a/packages/decisions/test/cold-targets.test.ts
+++ b/packages/decisions/test/cold-targets.test.ts
@@ -37,6 +37,9 @@
     { name: 'are cold by a listed entry of a run that started earlier by its clock', prepare: (known) => { known.recordEntry(entry(9, 0), true, 0); known.recordEntry(entry(5, 3000), false, 1000) }, at: 1000, remainingMs: 3000 },
     { name: 'are cold by another router that knows of a run that started earlier by its clock', prepare: (known) => { known.recordEntry(entry(9, 0), true, 0); known.merge([report(5, 2500, 100)], 1000) }, at: 1000, remainingMs: 2500 },
     { name: 'are not warm by the newer word of another router on another run', prepare: (known) => { known.recordEntry(entry(5, 3000), true, 0); known.merge([report(2, 0, 100)], 1000) }, at: 1000, remainingMs: 2000 },
+    { name: 'are not warm by a listed entry that is older than the word of another router', prepare: (known) => { known.recordEntry(entry(1, undefined), false, 0); known.merge([report(1, 3000, 0)], 1000); known.recordEntry(entry(1, 0), false, 1100) }, at: 1100, remainingMs: 2900 },
+    { name: 'are not warm by the list of a router that has no word on them', prepare: (known) => { known.recordEntry(entry(1, 4000), true, 0); known.recordEntry(entry(1, 0), false, 700) }, at: 700, remainingMs: 3300 },
+    { name: 'are cold by a listed entry whose change was missed', prepare: (known) => { known.recordEntry(entry(1, 0), true, 0); known.recordEntry(entry(1, 3000), false, 60_000) }, at: 60_000, remainingMs: 3000 },
     { name: 'are cold by the answers of a run that started earlier by its clock', prepare: (known) => { known.recordEntry(entry(9, 0), true, 0); known.recordEntry(entry(5, 0), true, 1000); known.recordAnswer(entry(5, 0), 2000, 1100) }, at: 1100, remainingMs: 2000 }
   ]
   for (const { name, prepare, at, remainingMs } of cases) {
