Keep quiet about cold targets of services without a cold start

Cause: words on such targets had no effect on requests, but were reported to other gateways, logged and counted. Change: a word knows the service of its target; without a cold start there it's neither reported, passed on with the target, announced, logged nor counted. It's kept, as the configuration may come later.

--- a/packages/decisions/src/cold-targets.ts
+++ b/packages/decisions/src/cold-targets.ts
@@ -50,6 +50,8 @@
 }
 
 interface Word {
+  /** Service of the target; undefined while only other routers have told of it. */
+  service: string | undefined
   startedAt: number
   /** Monotonic times, in milliseconds. */
   saidAt: number
@@ -62,7 +64,7 @@
 
 /**
  * Targets that are cold, by target: just started, or cold again, so that they are slow and take few requests. Times are monotonic milliseconds.
- * Words on targets of services without a cold start are kept without effect.
+ * Words on targets of services without a cold start are kept without effect, as the configuration may come later.
  */
 export class ColdTargets {
   readonly #words = new Map<string, Word>()
@@ -84,14 +86,15 @@
   recordEntry (entry: types.TargetEntry, isChange: boolean, now: number): void {
     const startedAt = entry.startedAt ?? 0
     const known = this.#words.get(entry.id)
+    if (known !== undefined) known.service = entry.service
     if (known?.startedAt === startedAt && (entry.coldMs === undefined || entry.coldMs === known.entryMs)) return
     const assumedMs = known === undefined ? 0 : this.#coldStartOf(entry.service)?.milliseconds ?? 0
     const statedMs = entry.coldMs ?? assumedMs
-    const leftMs = this.remainingMs(entry.id, now)
+    const leftMs = this.#leftMs(entry.id, now)
     if (!isChange && known?.startedAt === startedAt && statedMs <= leftMs) return
     // A list may miss the latest change, so that it makes no target warm.
     const remainingMs = isChange ? statedMs : Math.max(statedMs, leftMs)
-    this.#set(entry.id, { startedAt, saidAt: isChange ? now : now - UNKNOWN_AGE_MS, remainingMs, entryMs: entry.coldMs }, ColdSource.entry, now)
+    this.#set(entry.id, { service: entry.service, startedAt, saidAt: isChange ? now : now - UNKNOWN_AGE_MS, remainingMs, entryMs: entry.coldMs }, ColdSource.entry, now)
   }
 
   /** Records what a target said of itself in an answer. Returns true if other routers should hear of it at once. */
@@ -101,8 +104,8 @@
     const isCold = known !== undefined && known.coldUntil > now
     if (known !== undefined && known.startedAt !== startedAt && (isCold || remainingMs === 0)) return false
     const wasCold = known?.startedAt === startedAt && isCold
-    this.#set(entry.id, { startedAt, saidAt: now, remainingMs, entryMs: known?.entryMs }, ColdSource.answer, now)
-    return wasCold !== (remainingMs > 0)
+    this.#set(entry.id, { service: entry.service, startedAt, saidAt: now, remainingMs, entryMs: known?.entryMs }, ColdSource.answer, now)
+    return this.#hasColdStart(entry.service) && wasCold !== (remainingMs > 0)
   }
 
   /** Takes over what another router reported, where it is newer, or about another run that stays cold for longer. */
@@ -112,8 +115,8 @@
       const saidAt = now - ageMs
       const isSameRun = known?.startedAt === startedAt
       const isNewer = known === undefined || saidAt > known.saidAt + NEWER_BY_MS
-      if (isSameRun ? !isNewer : remainingMs <= (isNewer ? 0 : this.remainingMs(target, now))) continue
-      this.#set(target, { startedAt, saidAt, remainingMs, entryMs: isSameRun ? known.entryMs : undefined }, ColdSource.router, now)
+      if (isSameRun ? !isNewer : remainingMs <= (isNewer ? 0 : this.#leftMs(target, now))) continue
+      this.#set(target, { service: known?.service, startedAt, saidAt, remainingMs, entryMs: isSameRun ? known.entryMs : undefined }, ColdSource.router, now)
     }
   }
 
@@ -122,7 +125,7 @@
     for (const target of this.#reportedCold) {
       if (this.remainingMs(target, now) === 0) this.#tell(target, ColdSource.time, now)
     }
-    return [...this.#words].filter(([, word]) => word.coldUntil > now || (word.hasEndedEarly && now - word.saidAt <= WARM_REPORT_MS)).map(([target, word]) => {
+    return [...this.#words].filter(([, word]) => this.#hasColdStart(word.service) && (word.coldUntil > now || (word.hasEndedEarly && now - word.saidAt <= WARM_REPORT_MS))).map(([target, word]) => {
       return { target, startedAt: word.startedAt, remainingMs: this.remainingMs(target, now), ageMs: Math.round(now - word.saidAt) }
     })
   }
@@ -136,23 +139,32 @@
     return { run: types.targetLifetime({ ...entry, startedAt: word.startedAt === 0 ? undefined : word.startedAt }), perSecond: coldStart.perSecond, share: Math.min(1, (word.coldUntil - now) / coldStart.milliseconds) }
   }
 
-  /** Returns how much longer a target stays cold, in milliseconds; 0 if it is warm. */
+  /** Returns how much longer a target stays cold, in milliseconds; 0 if it is warm, or its service has no cold start. */
   remainingMs (target: string, now: number): number {
-    return Math.max(0, Math.ceil((this.#words.get(target)?.coldUntil ?? now) - now))
+    return this.#hasColdStart(this.#words.get(target)?.service) ? this.#leftMs(target, now) : 0
   }
 
   /** Returns the number of targets that are cold. */
   count (now: number): number {
-    return [...this.#words.values()].filter((word) => word.coldUntil > now).length
+    return [...this.#words.values()].filter((word) => word.coldUntil > now && this.#hasColdStart(word.service)).length
+  }
+
+  #leftMs (target: string, now: number): number {
+    return Math.max(0, Math.ceil((this.#words.get(target)?.coldUntil ?? now) - now))
+  }
+
+  /** Returns true for an unknown service too, as only routers report a target that know its service to have a cold start. */
+  #hasColdStart (service: string | undefined): boolean {
+    return service === undefined || this.#coldStartOf(service) !== undefined
   }
 
-  #set (target: string, word: Pick<Word, 'startedAt' | 'saidAt' | 'entryMs'> & { remainingMs: number }, source: ColdSource, now: number): void {
-    const { startedAt, saidAt, entryMs } = word
+  #set (target: string, word: Pick<Word, 'service' | 'startedAt' | 'saidAt' | 'entryMs'> & { remainingMs: number }, source: ColdSource, now: number): void {
+    const { service, startedAt, saidAt, entryMs } = word
     const known = this.#words.get(target)
     const remainingMs = Math.min(word.remainingMs, MAXIMUM_COLD_MS)
     const hasEndedEarly = remainingMs === 0 && known?.startedAt === startedAt && (known.coldUntil > now || known.hasEndedEarly)
     this.#words.delete(target)
-    this.#words.set(target, { startedAt, saidAt, coldUntil: now + remainingMs, entryMs, hasEndedEarly })
+    this.#words.set(target, { service, startedAt, saidAt, coldUntil: now + remainingMs, entryMs, hasEndedEarly })
     this.#tell(target, source, now)
     if (this.#words.size <= MAXIMUM_TARGETS) return
     const [oldest] = this.#words.keys()
--- a/packages/decisions/test/cold-targets.test.ts
+++ b/packages/decisions/test/cold-targets.test.ts
@@ -51,10 +51,20 @@
     })
   }
 
-  it('have no effect where the service has no cold start', () => {
-    const known = new cold.ColdTargets(() => undefined, () => {})
+  it('have no effect, and are not reported, counted or told of, where the service has no cold start', () => {
+    const changes: cold.ColdChange[] = []
+    const known = new cold.ColdTargets(() => undefined, (change) => { changes.push(change) })
     known.recordEntry(entry(1, 3000), true, 0)
+    expect(known.recordAnswer(entry(1, 3000), 2500, 0)).to.equal(false)
     expect(known.phaseOf(entry(1, 3000), 0)).to.equal(undefined)
+    expect([known.reports(0), known.count(0), changes]).to.deep.equal([[], 0, []])
+  })
+
+  it('are reported up to a hundred, those that stay cold longest first', () => {
+    const known = new cold.ColdTargets(() => COLD_START, () => {})
+    for (let index = 1; index <= 150; index++) known.recordEntry({ ...entry(1, 1000 + index), id: `t${index}` }, true, 0)
+    expect(known.reports(0).map(({ remainingMs }) => remainingMs)).to.deep.equal(Array.from({ length: 100 }, (_value, index) => 1150 - index))
+    expect(known.count(0)).to.equal(150)
   })
 
   it('are told of once when they become cold, and once when they are warm', () => {
