Name at most 100 cold targets in a heartbeat

Cause: reports had no cap, so a heartbeat grew with the number of cold targets. Change: the 100 that stay cold longest are named; the rest follow as these become warm.

--- a/packages/decisions/src/cold-targets.ts
+++ b/packages/decisions/src/cold-targets.ts
@@ -15,6 +15,9 @@
 /** Targets of which a word is remembered. */
 const MAXIMUM_TARGETS = 2000
 
+/** Targets that one report names. */
+const MAXIMUM_REPORTS = 100
+
 /** From where a router knows that a target is cold or warm. */
 export const ColdSource = { entry: 'entry', answer: 'answer', router: 'router', time: 'time' } as const
 export type ColdSource = typeof ColdSource[keyof typeof ColdSource]
@@ -120,12 +123,14 @@
     }
   }
 
-  /** Returns what the other routers should know. Tells the listener of targets whose cold phase has ended as announced. */
+  /** Returns what the other routers should know, on the targets that stay cold longest if there are many. Tells the listener of targets whose cold phase has ended as announced. */
   reports (now: number): ColdTargetReport[] {
     for (const target of this.#reportedCold) {
       if (this.remainingMs(target, now) === 0) this.#tell(target, ColdSource.time, now)
     }
-    return [...this.#words].filter(([, word]) => this.#hasColdStart(word.service) && (word.coldUntil > now || (word.hasEndedEarly && now - word.saidAt <= WARM_REPORT_MS))).map(([target, word]) => {
+    const news = [...this.#words].filter(([, word]) => this.#hasColdStart(word.service) && (word.coldUntil > now || (word.hasEndedEarly && now - word.saidAt <= WARM_REPORT_MS)))
+    if (news.length > MAXIMUM_REPORTS) news.sort(([, a], [, b]) => b.coldUntil - a.coldUntil)
+    return news.slice(0, MAXIMUM_REPORTS).map(([target, word]) => {
       return { target, startedAt: word.startedAt, remainingMs: this.remainingMs(target, now), ageMs: Math.round(now - word.saidAt) }
     })
   }
