--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -41,6 +41,9 @@
 /** Number of values that a draw can take. */
 const DRAW_STEPS = 1024
 
+/** Time that the work at a target that has just started takes longer, as a share of what it takes otherwise. */
+const COLD_DELAY_SHARE = 1
+
 /** Prompt length at which attention, whose time grows quadratically, takes as long as all other computation. */
 const ATTENTION_PARITY_TOKENS = 32_000
 
@@ -59,6 +62,9 @@
 export const PlacementReason = { cached: 'cached', room: 'room' } as const
 export type PlacementReason = typeof PlacementReason[keyof typeof PlacementReason]
 
+/** Returns the part of its cold start that a target has before it, from 0 to 1; 0 if it is warm. */
+export type ColdShare = (target: boards.TargetState) => number
+
 /** The target chosen for a request and, optionally, another target from whose cache it copies shared prompt parts. */
 export interface Placement {
   target: boards.TargetState
@@ -77,19 +83,19 @@
  * What other routers have in flight is known only with an error. With a random source, each choice draws the numbers of their requests from
  * what is believed of them (Thompson sampling), so that routers with the same reports don't all choose the same target.
  */
-export function chooseTarget (board: boards.TargetBoard, request: PlacementRequest, tried: ReadonlySet<string>, now: number, isPermitted: TargetFilter = () => true, source?: random.RandomSource): Placement | undefined {
+export function chooseTarget (board: boards.TargetBoard, request: PlacementRequest, tried: ReadonlySet<string>, now: number, isPermitted: TargetFilter = () => true, source?: random.RandomSource, coldShare: ColdShare = () => 0): Placement | undefined {
   const untried = board.assignableTargets(request.service).filter((target) => !tried.has(target.entry.id))
   const healthy = untried.filter((target) => target.backoffUntil <= now)
   const sources = healthy.length > 0 ? healthy : untried
   const considered = sources.some(isPermitted) ? sources : untried
   const candidates = considered.filter(isPermitted)
   const affinityId = affinityTargetId(sources, request)
-  const cachedTokens = new Map(considered.map((target) => [target, estimateCachedTokens(board, target.entry.id, request, target.entry.id === affinityId, now)]))
+  const cachedTokens = new Map(considered.map((target) => [target, estimateCachedTokens(board, target.entry.id, request, target.entry.id === affinityId ? 1 - coldShare(target) : 0, now)]))
   const copySource = maximumBy(sources, (target) => cachedTokens.get(target) ?? 0)
   const copyableTokens = copySource === undefined ? 0 : estimateCopyableTokens(board, copySource, request, now)
   const target = maximumBy(
     candidates,
-    (candidate) => -estimateDelay(candidate, drawRequestsInFlight(candidate, source), request, cachedTokens.get(candidate) ?? 0, copyableTokens),
+    (candidate) => -estimateDelay(candidate, drawRequestsInFlight(candidate, source), request, cachedTokens.get(candidate) ?? 0, copyableTokens, coldShare(candidate)),
     (candidate, best) => candidate.lastStartedAt < best.lastStartedAt
   )
   if (target === undefined) return undefined
@@ -118,14 +124,15 @@
 }
 
 /** Estimates the delay at a target, in prompt tokens that could be read in the same time. */
-function estimateDelay (target: boards.TargetState, running: number, request: PlacementRequest, cachedTokens: number, copyableTokens: number): number {
+function estimateDelay (target: boards.TargetState, running: number, request: PlacementRequest, cachedTokens: number, copyableTokens: number, coldShare: number): number {
+  const coldFactor = 1 + coldShare * COLD_DELAY_SHARE
   const { entry } = target
   const zoneCost = entry.availabilityZone === request.availabilityZone ? 0 : CROSS_ZONE_COST_TOKENS
   const baseCost = zoneCost + target.failureRatio * FAILURE_COST_TOKENS + Math.max(0, running + 1 - entry.slots) * QUEUED_REQUEST_COST_TOKENS
-  if (request.promptTokens === 0) return baseCost + running / entry.slots * FULL_PLAIN_TARGET_COST_TOKENS
+  if (request.promptTokens === 0) return baseCost + (running / entry.slots * coldFactor + coldShare * COLD_DELAY_SHARE) * FULL_PLAIN_TARGET_COST_TOKENS
   const unreadTokens = target.ownWork.unreadTokens + target.otherRoutersWork.unreadTokens
   const savedByCopy = Math.max(0, copyableTokens - cachedTokens) * (1 - COPY_COST_SHARE)
-  return baseCost + running / entry.slots * FULL_TARGET_COST_TOKENS + unreadTokens + request.promptTokens - cachedTokens - savedByCopy
+  return baseCost + (running / entry.slots * FULL_TARGET_COST_TOKENS + unreadTokens + request.promptTokens - cachedTokens - savedByCopy) * coldFactor
 }
 
 /** Returns the item with the highest measure, of equal ones the first that no other is preferred to; undefined for an empty list. */
@@ -143,13 +150,16 @@
 
 /** Estimates the prompt tokens that need not be read again if they are copied from the given target. */
 function estimateCopyableTokens (board: boards.TargetBoard, copySource: boards.TargetState, request: PlacementRequest, now: number): number {
-  const sentTokens = estimateCachedTokens(board, copySource.entry.id, request, false, now)
+  const sentTokens = estimateCachedTokens(board, copySource.entry.id, request, 0, now)
   const assumedTokens = request.sharedParts.reduce((sum, part) => sum + part.tokens, 0) * ASSUMED_COPYABLE_SHARE
   return Math.max(sentTokens, assumedTokens)
 }
 
-/** Estimates the prompt tokens that the target has cached. A cached part counts only if all parts before it are cached. */
-function estimateCachedTokens (board: boards.TargetBoard, id: string, request: PlacementRequest, isAffinityTarget: boolean, now: number): number {
+/**
+ * Estimates the prompt tokens that the target has cached. A cached part counts only if all parts before it are cached. `affinity` is from 0 to 1:
+ * how far the target is the one on which all routers agree for the prompt.
+ */
+function estimateCachedTokens (board: boards.TargetBoard, id: string, request: PlacementRequest, affinity: number, now: number): number {
   let sentTokens = 0
   let totalTokens = 0
   let isContiguous = true
@@ -158,5 +168,5 @@
     isContiguous &&= board.hasSentPartRecently(id, part.id, now)
     if (isContiguous) sentTokens += part.tokens
   }
-  return isAffinityTarget ? Math.max(sentTokens, totalTokens * AFFINITY_CACHED_SHARE) : sentTokens
+  return Math.max(sentTokens, totalTokens * AFFINITY_CACHED_SHARE * affinity)
 }
--- a/packages/gateway/src/fleet-view.ts
+++ b/packages/gateway/src/fleet-view.ts
@@ -6,6 +6,9 @@
 /** Time for which the view of a large fleet is cached, in milliseconds: the interval between two rounds of heartbeats. */
 const LARGE_FLEET_CACHE_MS = 300
 
+/** Time after a start within which a gateway may not have heard the others, in milliseconds. */
+const INTRODUCTION_TIME_MS = 2000
+
 /** A large fleet as of one moment, and what was worked out from it since. */
 interface LargeFleet {
   selectedAt: number
@@ -26,16 +29,18 @@
   readonly #clock: decisions.clock.Clock
   readonly #storeReach: decisions.storeReach.StoreReach
   readonly #startedAt: number
+  readonly #isLeaving: () => boolean
   readonly #watchDuty = new decisions.watchDuty.WatchDuty()
   #largeFleet: LargeFleet | undefined
   #hasKnownFleet = false
 
-  constructor (self: decisions.tokenHolders.HolderCandidate, peers: peerTables.PeerTable, clock: decisions.clock.Clock, storeReach: decisions.storeReach.StoreReach) {
+  constructor (self: decisions.tokenHolders.HolderCandidate, peers: peerTables.PeerTable, clock: decisions.clock.Clock, storeReach: decisions.storeReach.StoreReach, isLeaving: () => boolean) {
     this.#self = self
     this.#peers = peers
     this.#clock = clock
     this.#storeReach = storeReach
     this.#startedAt = clock.now()
+    this.#isLeaving = isLeaving
   }
 
   /** Returns false while this gateway has not heard most gateways of a large fleet, so that it can't tell which of them acts for the others. */
@@ -46,6 +51,11 @@
     return this.#hasKnownFleet || !decisions.fleetSize.isLargeFleet(discovery)
   }
 
+  /** Returns false while this gateway may take itself for a keeper because it has not heard the others yet. */
+  isIntroduced (): boolean {
+    return this.#clock.now() - this.#startedAt >= INTRODUCTION_TIME_MS && this.isFleetKnown()
+  }
+
   #discovery (): decisions.fleetSize.Discovery {
     const now = this.#clock.now()
     return { uptimeMs: now - this.#startedAt, ...this.#peers.discovered(now) }
@@ -56,6 +66,11 @@
     return 1 + this.#live().length
   }
 
+  /** Returns the number of gateways that are live, have fallen silent lately, or have an address at which none has been heard, this one included. */
+  knownGatewayCount (): number {
+    return 1 + Math.max(this.#live().length, this.#peers.knownGateways()) + this.#peers.unheardGateways()
+  }
+
   /** Returns the other live gateways that accept callers. */
   servingGateways (): routers.gatewayMessages.GatewayMember[] {
     return this.#peers.servingGateways(this.#clock.now())
@@ -77,17 +92,25 @@
     return decisions.hashing.rendezvousOrder(names, key, (name) => name).indexOf(this.#self.name)
   }
 
-  /** Returns the peer address of the gateway that keeps a target's limit for all; undefined if that is this gateway. */
+  /**
+   * Returns the peer address of the gateway that keeps a target's limit for all; undefined if that is this gateway. One that leaves keeps it only
+   * while none that stays is live.
+   */
   keeperOf (target: string): string | undefined {
-    const others = this.#live().map(({ sender }) => sender).filter((sender) => !sender.leaving)
-    const members = [{ host: this.#self.name, peerAddress: undefined }, ...others]
-    return decisions.hashing.rendezvousOrder(members, target, (member) => member.host)[0].peerAddress
+    const self = { host: this.#self.name, peerAddress: undefined, leaving: this.#isLeaving() }
+    const members = [self, ...this.#live().map(({ sender }) => sender)]
+    const staying = members.filter(({ leaving }) => !leaving)
+    return decisions.hashing.rendezvousOrder(staying.length > 0 ? staying : members, target, (member) => member.host)[0].peerAddress
   }
 
-  /** Returns the live share of all gateways that this one has heard lately, itself included. */
-  reachableShare (): number {
+  /**
+   * Returns the live share of all gateways that this one has heard lately, itself included. `countsUnheard` adds the addresses at which none has
+   * been heard, as a gateway that has just started may not be heard either.
+   */
+  reachableShare (countsUnheard: boolean): number {
     const live = this.#live().filter(({ sender }) => !sender.leaving).length
-    return (1 + live) / (1 + Math.max(live, this.#peers.knownGateways()))
+    const unheard = countsUnheard ? this.#peers.unheardGateways() : 0
+    return (1 + live) / (1 + Math.max(live, this.#peers.knownGateways()) + unheard)
   }
 
   /**
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -9,6 +9,7 @@
   livePeers: () => number
   heldPromptParts: () => number
   limitedTargets: () => number
+  coldTargets: () => number
   evacuatedZones: () => number
   freeTokens: () => Record<string, number>
   targetRequests: () => Record<string, number>
@@ -39,12 +40,13 @@
     this.#firstEventSeconds = new metrics.Histogram({ name: 'acaciaweir_first_event_seconds', help: 'Time to the first event of a stream', buckets, registers })
     this.#readDelaySeconds = new metrics.Histogram({ name: 'acaciaweir_read_delay_seconds', help: 'Longest time for which a request can have waited to be read', buckets, registers })
     this.#connectionDrops = new metrics.Counter({ name: 'acaciaweir_connection_drops_total', help: 'Times that the connections waiting to be accepted were dropped', registers })
-    this.#permits = new metrics.Counter({ name: 'acaciaweir_target_permits_total', help: 'Permits asked for, for targets that name a limit', labelNames: ['outcome'], registers })
+    this.#permits = new metrics.Counter({ name: 'acaciaweir_target_permits_total', help: 'Permits asked for, for targets that name a limit or are cold', labelNames: ['outcome'], registers })
     this.#choices = new metrics.Counter({ name: 'acaciaweir_target_choices_total', help: 'Choices of a target by reason', labelNames: ['reason'], registers })
     this.#server.addLabelledGauge('acaciaweir_target_requests', 'Requests in flight at a target from all gateways, as estimated', 'target', source.targetRequests)
     this.#server.addLabelledGauge('acaciaweir_target_room', 'Free slots of a target, as estimated; negative if requests queue there', 'target', source.targetRoom)
     this.#budgetRefusals = new metrics.Counter({ name: 'acaciaweir_budget_refusals_total', help: 'Requests refused for their prepaid budget, by whether it had tokens left as far as known', labelNames: ['outcome', 'budget_left'], registers })
     this.#server.addGauge('acaciaweir_limited_targets', 'Targets that name a limit', source.limitedTargets)
+    this.#server.addGauge('acaciaweir_cold_targets', 'Targets that are cold', source.coldTargets)
     this.#server.addGauge('acaciaweir_evacuated_zones', 'Zones that an operator has evacuated', source.evacuatedZones)
     this.#server.addGauge('acaciaweir_requests_in_progress', 'Requests in progress', source.requestsInProgress)
     this.#server.addGauge('acaciaweir_agreement_version', 'Version of the agreement in force', source.agreementVersion)
--- a/packages/gateway/test/token-fleet.ts
+++ b/packages/gateway/test/token-fleet.ts
@@ -106,7 +106,7 @@
     })
     this.peers = new peerTables.PeerTable(this.#name)
     for (let other = 0; other < fleet.size; other++) this.peers.addAddress(String(other), fleet.clock.now())
-    this.view = new fleetViews.FleetView({ name: this.#name, availabilityZone: this.#zone, processorShare: 1 }, this.peers, fleet.clock, this.#reach)
+    this.view = new fleetViews.FleetView({ name: this.#name, availabilityZone: this.#zone, processorShare: 1 }, this.peers, fleet.clock, this.#reach, () => this.isLeaving)
     const random = new decisions.random.SeededRandom(index + 1000 * generation)
     const shared = { clock: fleet.clock, random, logger: runtime.logging.createLogger('silent'), prepaidTotals: () => ({ version: 1, totals: fleet.totals }) }
     this.pageClient = new tokenPageClients.TokenPageClient({ ...shared, knowledge: pageStores.completeKnowledge, incarnation: this.#incarnation, store: this.link, onTokensCredited: (account, tokens) => { this.pool.add(account, tokens) } })
@@ -205,7 +205,7 @@
   heartbeat (): routers.gatewayMessages.GatewayHeartbeat {
     this.#sequence += 1
     const sender = { host: this.#name, incarnation: this.#incarnation, peerAddress: this.#name, callerAddress: '', availabilityZone: this.#zone, leaving: this.isLeaving, ready: true, load: 0, storeSilenceMs: 0, processorShare: 1, knowledgeAgeMs: 1, storeReach: this.#reach.state(this.#fleet.clock.now()) }
-    return { sender, heard: this.peers.selectHeardGateways(this.#fleet.clock.now()), agreementVersion: 1, targetsRevision: 0, targetsEpoch: 1, storeEpoch: 1, pageEpoch: 1, drawnTokens: {}, drawnChange: 0, work: [], freeTokens: {}, spending: {}, leavingTargets: [], sequence: this.#sequence, asksForAnswer: false, promptParts: [], targetLimits: [], evacuatedZones: [], evacuationsRevision: 0, evacuationsEpoch: 0 }
+    return { sender, heard: this.peers.selectHeardGateways(this.#fleet.clock.now()), agreementVersion: 1, targetsRevision: 0, targetsEpoch: 1, storeEpoch: 1, pageEpoch: 1, drawnTokens: {}, drawnChange: 0, work: [], freeTokens: {}, spending: {}, leavingTargets: [], sequence: this.#sequence, asksForAnswer: false, promptParts: [], targetLimits: [], coldTargets: [], evacuatedZones: [], evacuationsRevision: 0, evacuationsEpoch: 0 }
   }
 }
 
--- a/packages/routers/src/gateway-messages.ts
+++ b/packages/routers/src/gateway-messages.ts
@@ -65,6 +65,8 @@
   promptParts: decisions.promptPartBoard.PromptPartReport[]
   /** Limits that targets have named, as far as the sender knows. */
   targetLimits: decisions.targetLimits.TargetLimitReport[]
+  /** Targets that are cold, as far as the sender knows. */
+  coldTargets: decisions.coldTargets.ColdTargetReport[]
   /** Evacuated zones as of `evacuationsRevision`. */
   evacuatedZones: string[]
   evacuationsRevision: number
@@ -132,6 +134,8 @@
   target: string
   /** The limit as the sender knows it, in requests a second. */
   perSecond: number
+  /** The limit is that of a cold target, which crashes above it. */
+  isCold: boolean
 }
 
 /** Whether the request may be sent, and otherwise when to ask again. */
