--- a/packages/proving/src/managed-process.ts
+++ b/packages/proving/src/managed-process.ts
@@ -9,8 +9,8 @@
   /** Parsed lines in the order of output; lines that are no JSON are ignored. */
   readonly events: Array<Record<string, unknown>> = []
 
-  constructor (script: string, argv: string[], environment: Record<string, string> = {}) {
-    this.#child = childProcess.spawn(process.execPath, [script, ...argv], {
+  constructor (script: string, argv: string[], environment: Record<string, string> = {}, nodeOptions: string[] = []) {
+    this.#child = childProcess.spawn(process.execPath, [...nodeOptions, script, ...argv], {
       env: { ...process.env, ...environment },
       stdio: ['ignore', 'pipe', 'inherit']
     })
--- a/packages/proving/src/process-usage.ts
+++ b/packages/proving/src/process-usage.ts
@@ -23,3 +23,8 @@
   const pages = Number(fs.readFileSync(`/proc/${pid}/statm`, 'utf8').split(' ')[1])
   return { processorSeconds: ticks / TICKS_PER_SECOND, residentMegabytes: pages * BYTES_PER_PAGE / BYTES_PER_MEGABYTE }
 }
+
+/** Returns the number of descriptors that a running process has open. Throws if the process does not exist. */
+export function openDescriptors (pid: number): number {
+  return fs.readdirSync(`/proc/${pid}/fd`).length
+}
--- a/packages/proving/src/soak-fleet.ts
+++ b/packages/proving/src/soak-fleet.ts
@@ -8,18 +8,25 @@
 
 const GATEWAY_MAIN = url.fileURLToPath(import.meta.resolve('@acaciaweir/gateway/main'))
 
+/** What the gateways of a fleet run with, where it differs from the default. */
+export interface HostLimits extends Pick<standIns.gatewaySettings.HostSettings, 'memoryMb' | 'maximumDescriptors'> {
+  nodeOptions?: string[]
+}
+
 /** A gateway process that reaches the store through its own relay. */
 export class SoakHost {
   readonly name: string
   readonly settings: standIns.gatewaySettings.HostSettings
   readonly storeRelay: relays.Relay
   readonly #settingsPath: string
+  readonly #nodeOptions: string[]
   #process: processes.ManagedProcess | undefined
   /** The soak has sent a terminating signal, or is about to, so that an exit is expected. */
   #isTerminated = false
   isPaused = false
 
-  constructor (settings: standIns.gatewaySettings.HostSettings, storeRelay: relays.Relay, folder: string) {
+  constructor (settings: standIns.gatewaySettings.HostSettings, storeRelay: relays.Relay, folder: string, nodeOptions: string[] = []) {
+    this.#nodeOptions = nodeOptions
     this.name = settings.name
     this.settings = settings
     this.storeRelay = storeRelay
@@ -44,7 +51,7 @@
 
   /** Starts the gateway. Calls `onUnexpectedExit` if it exits without a signal of the soak. */
   start (onUnexpectedExit: (host: SoakHost, code: number | undefined) => void): void {
-    const started = new processes.ManagedProcess(GATEWAY_MAIN, ['--settings-file', this.#settingsPath, '--metrics-port', '0', '--log-level', 'warn'])
+    const started = new processes.ManagedProcess(GATEWAY_MAIN, ['--settings-file', this.#settingsPath, '--metrics-port', '0', '--log-level', 'warn'], {}, this.#nodeOptions)
     this.#process = started
     this.#isTerminated = false
     void started.waitForExit().then((code) => {
@@ -86,7 +93,10 @@
   readonly hosts: SoakHost[] = []
   readonly #folder = fs.mkdtempSync(path.join(os.tmpdir(), 'acaciaweir-soak-'))
 
-  constructor (accounts: standIns.platformStandIn.ClientAccount[]) {
+  readonly #limits: HostLimits
+
+  constructor (accounts: standIns.platformStandIn.ClientAccount[], limits: HostLimits = {}) {
+    this.#limits = limits
     this.platform = new standIns.platformStandIn.PlatformStandIn(accounts)
   }
 
@@ -108,9 +118,11 @@
         directoryPort: await standIns.freePorts.freePort(),
         peerPort: peerPorts[index],
         storeAddress: `127.0.0.1:${await relay.listen()}`,
-        seedPeers
+        seedPeers,
+        memoryMb: this.#limits.memoryMb,
+        maximumDescriptors: this.#limits.maximumDescriptors
       }
-      this.hosts.push(new SoakHost(settings, relay, this.#folder))
+      this.hosts.push(new SoakHost(settings, relay, this.#folder, this.#limits.nodeOptions))
     }
     for (const host of this.hosts) host.start(onUnexpectedExit)
     await this.waitUntilReady()
--- a/packages/stand-ins/src/gateway-settings.ts
+++ b/packages/stand-ins/src/gateway-settings.ts
@@ -7,6 +7,9 @@
   directoryPort: number
   storeAddress: string
   seedPeers: string[]
+  /** Memory of the host, in megabytes, and the descriptors that a process may open; by default those of a small host. */
+  memoryMb?: number
+  maximumDescriptors?: number
 }
 
 /** Returns the platform's settings file, in TOML, for a host on loopback. */
@@ -27,8 +30,8 @@
     `Directory = ${address(host.directoryPort)}`,
     '[Limits]',
     'CpuShare = 1.0',
-    'MemoryMb = 350',
-    'MaxFds = 4100',
+    `MemoryMb = ${host.memoryMb ?? 350}`,
+    `MaxFds = ${host.maximumDescriptors ?? 4100}`,
     '[Bounds]',
     'GraceS = 8',
     'RetryBudgetRatio = 0.2',
--- a/packages/stand-ins/src/platform-stand-in.ts
+++ b/packages/stand-ins/src/platform-stand-in.ts
@@ -25,6 +25,8 @@
   timeoutMs?: number
   /** Connections that each target accepts from all gateways together. */
   maximumConnections?: number
+  /** Largest body of a request, in bytes. */
+  bodyBytes?: number
 }
 
 /** A stand-in for the platform around a gateway: the store with the operators' configuration, and targets. */
@@ -98,7 +100,7 @@
         { Name: 'engines', HealthPath: '/health', MaxConnections: overrides.maximumConnections ?? 200, Engine: { Slots: 32, KvCapacityTokens: 100_000, Stride: 1 } },
         { Name: 'orders', HealthPath: '/health', MaxConnections: overrides.maximumConnections ?? 200 }
       ],
-      Limits: { MaxHeaderBytes: 16_384, MaxBodyBytes: 65_536, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15_000 },
+      Limits: { MaxHeaderBytes: 16_384, MaxBodyBytes: overrides.bodyBytes ?? 65_536, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15_000 },
       Tenants: this.accounts.map((account) => ({ Name: account.name, ApiKeys: [account.apiKey], Prepaid: account.prepaidTokens }))
     })
   }
