Account for request bodies, requests sent ahead and callers' connections

Cause: nobody added up what a gateway holds for its callers. A body was kept in the chunks in which it came, a body over the limit was read on after its refusal, requests on a connection and connections had no bound. Change: MemoryAccount adds up the bodies, gathered into blocks; memoryYielding says which are read, wait or are given up unrun (503 with Retry-After). An announced length over the limit is refused at the head, and a connection whose body is not read to its end is closed after the answer. At 64 requests in progress a connection is paused, at 256 closed. Connections beyond the descriptors' share close the stillest.

--- /dev/null
+++ b/packages/decisions/src/memory-yielding.ts
@@ -0,0 +1,82 @@
+const BYTES_PER_MEGABYTE = 1024 * 1024
+
+/** Memory that a process needs for itself, in megabytes. */
+const OWN_MEGABYTES = 100
+
+/** Share of the rest that bodies may occupy. The heap keeps freed memory for a while, and a body is copied when it is whole. */
+const BODY_SHARE = 0.5
+
+/** Room for bodies on the smallest host, in bytes. */
+const MINIMUM_CAPACITY_BYTES = 8 * BYTES_PER_MEGABYTE
+
+/** Share of the room that large bodies may occupy. The rest is kept for ordinary ones. */
+const LARGE_BODY_SHARE = 0.75
+
+/** Size up to which a body is ordinary and is read without asking for room, in bytes. */
+export const ORDINARY_BODY_BYTES = 64 * 1024
+
+/** Time after which a body that does not grow is given up while others want its room, in milliseconds. */
+export const MAXIMUM_STILL_MS = 2000
+
+/** Descriptors of a host that are for files. */
+const FILE_DESCRIPTORS = 200
+
+/** Share of the other descriptors that callers' connections may use. The rest is for targets, the store, other gateways and the platform. */
+const CALLER_DESCRIPTOR_SHARE = 0.75
+
+/** A body that is being read or has been read. */
+export interface HeldBody {
+  bytes: number
+  /** Bytes by which it may still grow. */
+  missingBytes: number
+  /** Time at which it last grew, in clock milliseconds. */
+  movedAt: number
+}
+
+/** What becomes of a body: it is read on, it waits for room, or it is refused unrun and its memory freed. */
+export const BodyTurn = { read: 'read', wait: 'wait', giveUp: 'give-up' } as const
+export type BodyTurn = typeof BodyTurn[keyof typeof BodyTurn]
+
+/** Returns the bytes that bodies may occupy in a process on a host with `memoryMb` megabytes. */
+export function bodyCapacity (memoryMb: number): number {
+  return Math.max(MINIMUM_CAPACITY_BYTES, (memoryMb - OWN_MEGABYTES) * BYTES_PER_MEGABYTE * BODY_SHARE)
+}
+
+/** Returns the connections that callers may keep to a process that may open `maximumDescriptors`. */
+export function callerConnectionLimit (maximumDescriptors: number): number {
+  return Math.max(1, Math.floor((maximumDescriptors - FILE_DESCRIPTORS) * CALLER_DESCRIPTOR_SHARE))
+}
+
+/** Returns true if a new body of `announcedBytes`, undefined if it comes in chunks, may be read where `heldBytes` are occupied. */
+export function mayTakeBody (announcedBytes: number | undefined, heldBytes: number, capacityBytes: number): boolean {
+  const isLarge = (announcedBytes ?? 0) > ORDINARY_BODY_BYTES
+  return heldBytes + (isLarge ? 0 : announcedBytes ?? ORDINARY_BODY_BYTES) <= capacityBytes * (isLarge ? LARGE_BODY_SHARE : 1)
+}
+
+/** Returns true if all large bodies can grow to their ends. */
+export function hasRoomForAll (heldBytes: number, missingBytes: number, capacityBytes: number): boolean {
+  return heldBytes + missingBytes <= capacityBytes * LARGE_BODY_SHARE
+}
+
+/**
+ * Returns what becomes of each body that is larger than an ordinary one and not whole yet. Those that lack least go first, and each that is
+ * read has room to its end, so that some always become whole or are given up.
+ */
+export function bodyTurns<Body extends HeldBody> (bodies: readonly Body[], heldBytes: number, capacityBytes: number, now: number): Map<Body, BodyTurn> {
+  const missingBytes = bodies.reduce((sum, body) => sum + body.missingBytes, 0)
+  if (hasRoomForAll(heldBytes, missingBytes, capacityBytes)) return new Map(bodies.map((body) => [body, BodyTurn.read]))
+  const turns = new Map<Body, BodyTurn>()
+  let roomBytes = capacityBytes * LARGE_BODY_SHARE - heldBytes
+  for (const body of [...bodies].sort((one, other) => one.missingBytes - other.missingBytes)) {
+    if (now - body.movedAt > MAXIMUM_STILL_MS) {
+      turns.set(body, BodyTurn.giveUp)
+      roomBytes += body.bytes
+    } else if (body.missingBytes <= roomBytes) {
+      turns.set(body, BodyTurn.read)
+      roomBytes -= body.missingBytes
+    } else {
+      turns.set(body, BodyTurn.wait)
+    }
+  }
+  return turns
+}
--- /dev/null
+++ b/packages/decisions/test/memory-yielding.test.ts
@@ -0,0 +1,49 @@
+// Many bodies are read at once. Guards against a process that reads more than it has room for, against bodies that never end and keep the
+// room of others, and against ordinary bodies that are turned away with them.
+import * as chai from 'chai'
+import * as memoryYielding from '../src/memory-yielding.js'
+
+const { expect } = chai
+
+const MEGABYTE = 1024 * 1024
+const CAPACITY = 40 * MEGABYTE
+
+type Row = [megabytes: number, missingMegabytes: number, movedAt: number]
+
+describe('turns of bodies', () => {
+  const cases: Array<{ name: string, bodies: Row[], heldMegabytes?: number, now: number, turns: string[] }> = [
+    { name: 'all are read where all have room', bodies: [[1, 3, 0], [2, 2, 0]], now: 60_000, turns: ['read', 'read'] },
+    { name: 'those that lack least go first', bodies: [[9, 9, 0], [9, 1, 0], [9, 2, 0]], now: 100, turns: ['wait', 'read', 'read'] },
+    { name: 'each that is read has room to its end', bodies: [[8, 4, 0], [8, 3, 0], [8, 4, 0]], now: 100, turns: ['wait', 'read', 'wait'] },
+    { name: 'one that stands still gives its room to the next', bodies: [[8, 9, 9000], [20, 3, 0]], now: 10_000, turns: ['read', 'give-up'] },
+    { name: 'one that moves keeps its room', bodies: [[8, 9, 9000], [20, 2, 8500]], now: 10_000, turns: ['wait', 'read'] },
+    { name: 'bodies that are whole count, too', bodies: [[4, 2, 0]], heldMegabytes: 29, now: 100, turns: ['wait'] }
+  ]
+  for (const { name, bodies, heldMegabytes, now, turns } of cases) {
+    it(name, () => {
+      const held = bodies.map(([megabytes, missing, movedAt]) => ({ bytes: megabytes * MEGABYTE, missingBytes: missing * MEGABYTE, movedAt }))
+      const heldBytes = heldMegabytes === undefined ? held.reduce((sum, body) => sum + body.bytes, 0) : heldMegabytes * MEGABYTE
+      const result = memoryYielding.bodyTurns(held, heldBytes, CAPACITY, now)
+      expect(held.map((body) => result.get(body))).to.deep.equal(turns)
+    })
+  }
+
+  const newBodies: Array<{ name: string, announcedBytes: number | undefined, heldMegabytes: number, isTaken: boolean }> = [
+    { name: 'a large one is taken in calm', announcedBytes: 4 * MEGABYTE, heldMegabytes: 29, isTaken: true },
+    { name: 'a large one is refused where large ones have no room', announcedBytes: 4 * MEGABYTE, heldMegabytes: 31, isTaken: false },
+    { name: 'an ordinary one is taken then', announcedBytes: 1000, heldMegabytes: 31, isTaken: true },
+    { name: 'one without a length is taken then', announcedBytes: undefined, heldMegabytes: 31, isTaken: true },
+    { name: 'an ordinary one is refused where nothing has room', announcedBytes: 1000, heldMegabytes: 40, isTaken: false }
+  ]
+  for (const { name, announcedBytes, heldMegabytes, isTaken } of newBodies) {
+    it(`new bodies: ${name}`, () => {
+      expect(memoryYielding.mayTakeBody(announcedBytes, heldMegabytes * MEGABYTE, CAPACITY)).to.equal(isTaken)
+    })
+  }
+
+  for (const { memoryMb, megabytes } of [{ memoryMb: 350, megabytes: 125 }, { memoryMb: 210, megabytes: 55 }, { memoryMb: 90, megabytes: 8 }]) {
+    it(`a host of ${memoryMb} MB has room for ${megabytes} MB`, () => {
+      expect(memoryYielding.bodyCapacity(memoryMb)).to.equal(megabytes * MEGABYTE)
+    })
+  }
+})
--- a/packages/gateway/src/answers.ts
+++ b/packages/gateway/src/answers.ts
@@ -7,6 +7,19 @@
 /** Retry-after delay of requests that a leaving gateway does not take, in milliseconds. Other gateways take them at once. */
 const LEAVING_RETRY_AFTER_MS = 50
 
+/** Time for which what a refused caller still sends is dropped, in milliseconds, and the most that is dropped, in bytes. */
+const DROP_TIME_MS = 300
+const MAXIMUM_DROPPED_BYTES = 1024 * 1024
+
+/** Retry-after delay of requests whose bodies have no room, in milliseconds. */
+const MEMORY_RETRY_AFTER_MS = 1000
+
+/** Refusal of a request whose body has no room in memory. */
+export const MEMORY_REFUSAL: calls.Refusal = { status: 503, reason: 'no memory is free for the body', retryAfterMs: MEMORY_RETRY_AFTER_MS }
+
+/** Refusal of a request whose body exceeds the limit. */
+export const BODY_REFUSAL: calls.Refusal = { status: 413, reason: 'the body is too large' }
+
 /** Refusal of a request that could outlast a leaving gateway. */
 export const LEAVING_REFUSAL: calls.Refusal = { status: 503, reason: 'the gateway is leaving', retryAfterMs: LEAVING_RETRY_AFTER_MS }
 
@@ -16,6 +29,34 @@
  */
 export function sendRefusal (response: http.ServerResponse, refusal: calls.Refusal, remainingMs: number = Infinity): void {
   if (response.headersSent || response.destroyed) return
+  response.end(writeRefusalHead(response, refusal, remainingMs))
+}
+
+/**
+ * Answers a request whose body is not read to its end with a refusal, and closes the connection soon after it. For a moment it drops what
+ * still arrives: a connection that is closed with unread bytes is reset, and the caller may lose the answer.
+ */
+export function sendRefusalAndClose (message: http.IncomingMessage, response: http.ServerResponse, refusal: calls.Refusal): void {
+  if (response.headersSent || response.destroyed) return
+  response.setHeader('connection', 'close')
+  response.write(writeRefusalHead(response, refusal, Infinity))
+  let droppedBytes = 0
+  const finish = (): void => {
+    clearTimeout(timer)
+    message.off('data', drop).off('end', finish).off('close', finish)
+    response.end()
+  }
+  const drop = (chunk: Buffer): void => {
+    droppedBytes += chunk.length
+    if (droppedBytes > MAXIMUM_DROPPED_BYTES) finish()
+  }
+  const timer = setTimeout(finish, DROP_TIME_MS)
+  message.on('data', drop).on('end', finish).on('close', finish).on('error', () => {})
+  message.resume()
+}
+
+/** Writes the head of a refusal and returns its body. */
+function writeRefusalHead (response: http.ServerResponse, refusal: calls.Refusal, remainingMs: number): string {
   const body = JSON.stringify({ title: refusal.reason })
   const headers: http.OutgoingHttpHeaders = { 'content-type': 'application/problem+json', 'content-length': Buffer.byteLength(body) }
   if (refusal.retryAfterMs !== undefined) {
@@ -23,7 +64,7 @@
     headers['retry-after'] = (waitMs / 1000).toFixed(3)
   }
   response.writeHead(refusal.status, headers)
-  response.end(body)
+  return body
 }
 
 /** A complete answer of a target, held back until the gateway knows whether it forwards it. */
--- /dev/null
+++ b/packages/gateway/src/caller-connections.ts
@@ -0,0 +1,81 @@
+import type * as http from 'node:http'
+import type * as net from 'node:net'
+
+/** Requests in progress on a connection at which no more are read from it, and at which reading goes on. */
+const MAXIMUM_REQUESTS_AHEAD = 64
+const RESUMED_REQUESTS_AHEAD = 32
+
+/** Requests in progress on a connection at which it is closed. What has been read at once is parsed whole, so that a pause alone doesn't bound them. */
+const CLOSED_REQUESTS_AHEAD = 256
+
+/** Why a caller's connection is closed. */
+export const CloseReason = { requestsAhead: 'requests-ahead', connections: 'connections', refusedBody: 'refused-body' } as const
+export type CloseReason = typeof CloseReason[keyof typeof CloseReason]
+
+interface Connection {
+  requestsInProgress: number
+  isPaused: boolean
+}
+
+/** The connections of callers: bounds their number and the requests that are sent ahead on each. */
+export class CallerConnections {
+  readonly #maximumConnections: number
+  readonly #onClosed: (reason: CloseReason, caller: string | undefined) => void
+  /** In the order of their last requests. */
+  readonly #connections = new Map<net.Socket, Connection>()
+
+  constructor (maximumConnections: number, onClosed: (reason: CloseReason, caller: string | undefined) => void) {
+    this.#maximumConnections = maximumConnections
+    this.#onClosed = onClosed
+  }
+
+  get size (): number {
+    return this.#connections.size
+  }
+
+  /** Takes a new connection. Where there are too many, closes the one without a request that has stood still longest, or else the new one. */
+  add (socket: net.Socket): void {
+    this.#connections.set(socket, { requestsInProgress: 0, isPaused: false })
+    socket.on('close', () => { this.#connections.delete(socket) })
+    if (this.#connections.size > this.#maximumConnections) this.close(this.#stillest() ?? socket, CloseReason.connections)
+  }
+
+  /** Counts a request until its response has ended. Returns false if too many were sent ahead and the connection is closed. */
+  recordRequest (socket: net.Socket, response: http.ServerResponse): boolean {
+    const connection = this.#connections.get(socket)
+    if (connection === undefined || socket.destroyed) return false
+    this.#connections.delete(socket)
+    this.#connections.set(socket, connection)
+    connection.requestsInProgress += 1
+    response.on('close', () => { this.#recordEnd(socket, connection) })
+    if (connection.requestsInProgress >= CLOSED_REQUESTS_AHEAD) {
+      this.close(socket, CloseReason.requestsAhead)
+      return false
+    }
+    if (connection.requestsInProgress >= MAXIMUM_REQUESTS_AHEAD) {
+      connection.isPaused = true
+      socket.pause()
+    }
+    return true
+  }
+
+  close (socket: net.Socket, reason: CloseReason): void {
+    this.#onClosed(reason, socket.remoteAddress)
+    this.#connections.delete(socket)
+    socket.destroy()
+  }
+
+  #recordEnd (socket: net.Socket, connection: Connection): void {
+    connection.requestsInProgress -= 1
+    if (!connection.isPaused || connection.requestsInProgress > RESUMED_REQUESTS_AHEAD || socket.destroyed) return
+    connection.isPaused = false
+    socket.resume()
+  }
+
+  #stillest (): net.Socket | undefined {
+    for (const [socket, { requestsInProgress }] of this.#connections) {
+      if (requestsInProgress === 0) return socket
+    }
+    return undefined
+  }
+}
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -4,6 +4,7 @@
 import * as http from 'node:http'
 import * as net from 'node:net'
 import * as answers from './answers.js'
+import * as callerConnections from './caller-connections.js'
 import type * as calls from './call.js'
 import * as logs from './decision-log.js'
 import type * as metrics from './gateway-metrics.js'
@@ -41,6 +42,10 @@
   metrics: metrics.GatewayMetrics
   flow: flows.RequestFlow
   leavingAdmission: decisions.leavingAdmission.LeavingAdmission
+  /** Memory of the host, in megabytes. */
+  memoryMb: number
+  /** Descriptors that the process may open. */
+  maximumDescriptors: number
   routeTable: () => decisions.routeTable.RouteTable | undefined
   /** Time since the agreement was last confirmed, in milliseconds. */
   agreementAgeMs: () => number
@@ -59,6 +64,8 @@
   /** Aborts of the calls in progress. */
   readonly #aborts = new Set<(reason: calls.AbortReason) => void>()
   readonly #queue: runtime.admissionQueue.AdmissionQueue
+  readonly #connections: callerConnections.CallerConnections
+  readonly #memory: runtime.memoryAccount.MemoryAccount
   #inProgress = 0
   #isLeaving = false
 
@@ -70,7 +77,19 @@
       clock: options.clock,
       dropWaitingConnections: () => { this.#dropWaitingConnections() }
     })
+    this.#connections = new callerConnections.CallerConnections(decisions.memoryYielding.callerConnectionLimit(options.maximumDescriptors), (reason, caller) => {
+      options.metrics.countClosedConnection(reason)
+      options.decisionLog.write({ event: 'connection-closed', reason, caller })
+    })
+    this.#memory = new runtime.memoryAccount.MemoryAccount({
+      clock: options.clock,
+      capacityBytes: decisions.memoryYielding.bodyCapacity(options.memoryMb),
+      onPushBack: (isPushingBack, largestBytes) => {
+        options.logger.warn({ event: isPushingBack ? 'memory-pushes-back' : 'memory-regained', heldBytes: this.#memory.heldBytes, largestBytes, connections: this.#connections.size })
+      }
+    })
     this.#server.on('connection', (socket) => {
+      this.#connections.add(socket)
       this.#queue.recordConnection()
       this.#trackConnection(socket)
     })
@@ -81,6 +100,20 @@
     return this.#inProgress
   }
 
+  /** Memory that bodies occupy, in bytes. */
+  get bodyBytes (): number {
+    return this.#memory.heldBytes
+  }
+
+  /** Bodies that are not read on for want of memory. */
+  get waitingBodies (): number {
+    return this.#memory.waitingBodies
+  }
+
+  get connections (): number {
+    return this.#connections.size
+  }
+
   listen (port: number, address: string): Promise<void> {
     return new Promise((resolve, reject) => {
       this.#server.once('error', reject)
@@ -143,6 +176,7 @@
   }
 
   #enqueue (message: http.IncomingMessage, response: http.ServerResponse): void {
+    if (!this.#connections.recordRequest(message.socket, response)) return
     this.#inProgress += 1
     const arrival = this.#recordArrival(message)
     const fail = (error: Error): void => { this.#fail(message, response, error) }
@@ -208,18 +242,34 @@
       this.#refuse(message, response, admission, arrival, table)
       return
     }
-    const { request, route, account } = admission
+    const { request, route } = admission
     const deadlineAt = arrival.at + Math.min(request.remainingMs ?? Infinity, route.timeoutMs) - DEADLINE_MARGIN_MS
     const now = this.#options.clock.now()
     if (!this.#options.leavingAdmission.mayStart(route.name, deadlineAt - now, now)) {
       this.#refuse(message, response, answers.LEAVING_REFUSAL, arrival, table)
       return
     }
-    const body = await readBody(message, admission.limits.bodyBytes)
-    if (body === undefined) {
-      this.#refuse(message, response, { status: 413, reason: 'the body is too large' }, arrival, table)
+    const announcedBytes = runtime.bodyReader.announcedBytes(message)
+    if (!this.#memory.mayTake(announcedBytes)) {
+      this.#refuse(message, response, answers.MEMORY_REFUSAL, arrival, table)
       return
     }
+    const reading = announcedBytes !== undefined && announcedBytes > admission.limits.bodyBytes
+      ? { kind: 'too-large' as const }
+      : await new runtime.bodyReader.BodyReader(message, admission.limits.bodyBytes, this.#memory, this.#options.clock).read()
+    if (reading.kind !== 'whole') {
+      this.#refuse(message, response, reading.kind === 'too-large' ? answers.BODY_REFUSAL : answers.MEMORY_REFUSAL, arrival, table)
+      return
+    }
+    try {
+      await this.#serveWhole(message, response, arrival, admission, deadlineAt, reading.body)
+    } finally {
+      reading.release()
+    }
+  }
+
+  async #serveWhole (message: http.IncomingMessage, response: http.ServerResponse, arrival: calls.Arrival, admission: AdmittedRequest, deadlineAt: number, body: Buffer): Promise<void> {
+    const { request, route, account } = admission
     const call: calls.Call = {
       message,
       response,
@@ -293,8 +343,12 @@
   }
 
   #refuse (message: http.IncomingMessage, response: http.ServerResponse, refusal: calls.Refusal, arrival: calls.Arrival, table: decisions.routeTable.RouteTable | undefined): void {
-    answers.sendRefusal(response, refusal)
-    message.resume()
+    if (mayReadOn(message, table)) {
+      answers.sendRefusal(response, refusal)
+      message.resume()
+    } else {
+      answers.sendRefusalAndClose(message, response, refusal)
+    }
     this.#options.metrics.observeRequest('none', `refused-${refusal.status}`, 0)
     this.#options.decisionLog.write({
       event: 'request-refused',
@@ -376,14 +430,8 @@
   return message.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
 }
 
-/** Reads the whole body. Returns undefined if it exceeds the limit; rejects if the caller disconnects. */
-async function readBody (message: http.IncomingMessage, maximumBytes: number): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = []
-  let size = 0
-  for await (const chunk of message) {
-    size += (chunk as Buffer).length
-    if (size > maximumBytes) return undefined
-    chunks.push(chunk as Buffer)
-  }
-  return Buffer.concat(chunks)
+/** Returns true if the rest of a refused request is small enough to be read, so that the connection can be used again. */
+function mayReadOn (message: http.IncomingMessage, table: decisions.routeTable.RouteTable | undefined): boolean {
+  const bytes = runtime.bodyReader.announcedBytes(message)
+  return message.complete || (bytes !== undefined && bytes <= Math.min(decisions.memoryYielding.ORDINARY_BODY_BYTES, table?.agreement.limits.bodyBytes ?? Infinity))
 }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -8,6 +8,9 @@
   agreementVersion: () => number
   livePeers: () => number
   heldPromptParts: () => number
+  bodyBytes: () => number
+  waitingBodies: () => number
+  callerConnections: () => number
   limitedTargets: () => number
   freeTokens: () => Record<string, number>
   storeCalls: () => platform.objectStore.StoreCallCounts
@@ -25,6 +28,7 @@
   readonly #readDelaySeconds: metrics.Histogram
   readonly #connectionDrops: metrics.Counter
   readonly #permits: metrics.Counter
+  readonly #closedConnections: metrics.Counter
 
   constructor (source: GaugeSource) {
     const registers = [this.#server.registry]
@@ -35,6 +39,10 @@
     this.#readDelaySeconds = new metrics.Histogram({ name: 'acaciaweir_read_delay_seconds', help: 'Longest time for which a request can have waited to be read', buckets, registers })
     this.#connectionDrops = new metrics.Counter({ name: 'acaciaweir_connection_drops_total', help: 'Times that the connections waiting to be accepted were dropped', registers })
     this.#permits = new metrics.Counter({ name: 'acaciaweir_target_permits_total', help: 'Permits asked for, for targets that name a limit', labelNames: ['outcome'], registers })
+    this.#closedConnections = new metrics.Counter({ name: 'acaciaweir_closed_connections_total', help: 'Connections of callers that were closed to bound what they hold', labelNames: ['reason'], registers })
+    this.#server.addGauge('acaciaweir_body_bytes', 'Memory that request bodies occupy', source.bodyBytes)
+    this.#server.addGauge('acaciaweir_waiting_bodies', 'Request bodies that are not read on for want of memory', source.waitingBodies)
+    this.#server.addGauge('acaciaweir_caller_connections', 'Open connections of callers', source.callerConnections)
     this.#server.addGauge('acaciaweir_limited_targets', 'Targets that name a limit', source.limitedTargets)
     this.#server.addGauge('acaciaweir_requests_in_progress', 'Requests in progress', source.requestsInProgress)
     this.#server.addGauge('acaciaweir_agreement_version', 'Version of the agreement in force', source.agreementVersion)
@@ -62,6 +70,10 @@
     this.#connectionDrops.inc()
   }
 
+  countClosedConnection (reason: string): void {
+    this.#closedConnections.inc({ reason })
+  }
+
   countPermit (outcome: string): void {
     this.#permits.inc({ outcome })
   }
--- /dev/null
+++ b/packages/runtime/src/memory-account.ts
@@ -0,0 +1,150 @@
+import * as decisions from '@acaciaweir/decisions'
+
+const { BodyTurn, ORDINARY_BODY_BYTES } = decisions.memoryYielding
+
+/** Interval at which the turns of bodies change while not all have room, in milliseconds. */
+const REVIEW_INTERVAL_MS = 200
+
+/** Bodies that are named in the log when the account begins to push back. */
+const NAMED_BODIES = 5
+
+/** What the account tells the reader of a body. */
+export interface BodyReader {
+  pause: () => void
+  resume: () => void
+  /** The body must be dropped: others need its room. */
+  giveUp: () => void
+}
+
+export interface MemoryAccountOptions {
+  clock: decisions.clock.Clock
+  /** Bytes that all bodies together may occupy. */
+  capacityBytes: number
+  /** Called when the account begins or ceases to push back, with the sizes of the largest bodies. */
+  onPushBack: (isPushingBack: boolean, largestBytes: number[]) => void
+}
+
+/** One body in the account. */
+export class BodyHolding implements decisions.memoryYielding.HeldBody {
+  readonly #account: MemoryAccount
+  readonly reader: BodyReader
+  bytes = 0
+  missingBytes = 0
+  movedAt = 0
+  isWaiting = false
+
+  constructor (account: MemoryAccount, reader: BodyReader) {
+    this.#account = account
+    this.reader = reader
+  }
+
+  /** Adds memory for the body, which may grow by `missingBytes` more. */
+  grow (bytes: number, missingBytes: number): void {
+    this.#account.grow(this, bytes, missingBytes)
+  }
+
+  /** Tells that bytes have arrived. */
+  move (now: number): void {
+    this.movedAt = now
+  }
+
+  /** The body is whole: it keeps its memory until `release`. */
+  complete (): void {
+    this.#account.complete(this)
+  }
+
+  release (): void {
+    this.#account.release(this)
+  }
+}
+
+/** Adds up the memory of request bodies and makes those wait that would exceed what the process has. */
+export class MemoryAccount {
+  readonly #options: MemoryAccountOptions
+  /** Bodies that are larger than an ordinary one and not whole yet. */
+  readonly #growing = new Set<BodyHolding>()
+  #heldBytes = 0
+  #timer: NodeJS.Timeout | undefined
+  #isPushingBack = false
+
+  constructor (options: MemoryAccountOptions) {
+    this.#options = options
+  }
+
+  get heldBytes (): number {
+    return this.#heldBytes
+  }
+
+  get waitingBodies (): number {
+    return [...this.#growing].filter((body) => body.isWaiting).length
+  }
+
+  /** Returns true if a body of `announcedBytes`, undefined for one in chunks, may be read now. */
+  mayTake (announcedBytes: number | undefined): boolean {
+    return decisions.memoryYielding.mayTakeBody(announcedBytes, this.#heldBytes, this.#options.capacityBytes)
+  }
+
+  open (reader: BodyReader): BodyHolding {
+    return new BodyHolding(this, reader)
+  }
+
+  grow (body: BodyHolding, bytes: number, missingBytes: number): void {
+    this.#heldBytes += bytes
+    body.bytes += bytes
+    body.missingBytes = missingBytes
+    if (body.bytes < ORDINARY_BODY_BYTES || missingBytes === 0 || this.#growing.has(body)) return
+    body.movedAt = this.#options.clock.now()
+    this.#growing.add(body)
+    this.#review()
+  }
+
+  complete (body: BodyHolding): void {
+    if (this.#growing.delete(body)) this.#review()
+  }
+
+  release (body: BodyHolding): void {
+    this.#heldBytes -= body.bytes
+    body.bytes = 0
+    const wasGrowing = this.#growing.delete(body)
+    if (wasGrowing || this.#timer !== undefined) this.#scheduleReview()
+  }
+
+  #review (): void {
+    const { clock, capacityBytes } = this.#options
+    for (const [body, turn] of decisions.memoryYielding.bodyTurns([...this.#growing], this.#heldBytes, capacityBytes, clock.now())) {
+      if (turn === BodyTurn.giveUp) this.#giveUp(body)
+      else this.#setWaiting(body, turn === BodyTurn.wait)
+    }
+    const isPushingBack = [...this.#growing].some((body) => body.isWaiting)
+    if (isPushingBack) this.#scheduleReview()
+    this.#reportPushBack(isPushingBack)
+  }
+
+  #reportPushBack (isPushingBack: boolean): void {
+    if (isPushingBack === this.#isPushingBack) return
+    this.#isPushingBack = isPushingBack
+    const sizes = [...this.#growing].map((body) => body.bytes).sort((one, other) => other - one)
+    this.#options.onPushBack(isPushingBack, sizes.slice(0, NAMED_BODIES))
+  }
+
+  #scheduleReview (): void {
+    if (this.#timer !== undefined) return
+    this.#timer = setTimeout(() => {
+      this.#timer = undefined
+      this.#review()
+    }, REVIEW_INTERVAL_MS)
+    this.#timer.unref()
+  }
+
+  #setWaiting (body: BodyHolding, isWaiting: boolean): void {
+    if (body.isWaiting === isWaiting) return
+    body.isWaiting = isWaiting
+    if (isWaiting) body.reader.pause()
+    else body.reader.resume()
+  }
+
+  #giveUp (body: BodyHolding): void {
+    this.#growing.delete(body)
+    body.reader.giveUp()
+  }
+}
