--- a/packages/proving/test/held-memory.test.ts
+++ b/packages/proving/test/held-memory.test.ts
@@ -34,6 +34,7 @@
   /** The service that the members ask takes longer than the test. */
   targetIsSlow?: boolean
   answerBytes?: number
+  slots?: number
 }
 
 const requestHead = (method: string, path: string, index: number, fields: string): string => {
@@ -55,6 +56,7 @@
   { name: 'heads without an end', connections: 150, member: () => ({ head: 'GET /stock/1 HTTP/1.1\r\nA: ', block: Buffer.alloc(1000, 'x'), bytes: 60_000, reads: true }) },
   { name: 'heads with thousands of fields', connections: 150, member: () => ({ head: 'GET /stock/1 HTTP/1.1\r\n', block: Buffer.from('a:\r\n'.repeat(250)), bytes: 60_000, reads: true }) },
   { name: 'answers unread in their middle', connections: 100, member: (index) => ({ ...nothing, head: requestHead('GET', '/stock/1', index, ''), answerBytes: 6_000_000 }) },
+  { name: 'answers unread to many requests sent ahead', connections: 20, member: (index) => ({ ...nothing, head: requestHead('GET', '/stock/1', index, '').repeat(60), answerBytes: 250_000, slots: 1200 }) },
   { name: 'connections that say nothing', connections: 600, member: () => nothing }
 ]
 
@@ -84,8 +86,8 @@
   for (const { name, connections, member } of cases) {
     it(`lives within its limits and answers others: ${name}`, async () => {
       const { callerAddress, pid } = fleet.hosts[0]
-      const { targetIsSlow = false, answerBytes = 0 } = member(0)
-      for (const target of fleet.platform.targets) Object.assign(target.options, { answerBytes, workMs: targetIsSlow ? TIMEOUT_MS : 5 })
+      const { targetIsSlow = false, answerBytes = 0, slots = 32 } = member(0)
+      for (const target of fleet.platform.targets) Object.assign(target.options, { answerBytes, slots, workMs: targetIsSlow ? TIMEOUT_MS : 5 })
       let mostMegabytes = 0
       let mostDescriptors = 0
       const sampler = setInterval(() => {
