Account for unread answers and connections to targets

Cause: answers that callers don't read stayed in memory without a bound, and so did connections to targets that wait with them. Change: each connection holds its unread answers in the account; beyond the capacity the stillest are closed, then those that hold most. A large answer that begins to be forwarded is no longer copied. Connections to targets have a bound from MaxFds; a request that waits for one closes the stillest unread answer. A refused body within the limit is read on as before; only others close their connection.

--- a/packages/decisions/src/memory-yielding.ts
+++ b/packages/decisions/src/memory-yielding.ts
@@ -21,8 +21,11 @@
 /** Descriptors of a host that are for files. */
 const FILE_DESCRIPTORS = 200
 
-/** Share of the other descriptors that callers' connections may use. The rest is for targets, the store, other gateways and the platform. */
-const CALLER_DESCRIPTOR_SHARE = 0.75
+/** Share of the other descriptors that callers' connections may use. The rest is for the store, other gateways and the platform's ports. */
+const CALLER_DESCRIPTOR_SHARE = 0.7
+
+/** The same for connections to targets that are in use. */
+const TARGET_DESCRIPTOR_SHARE = 0.25
 
 /** A body that is being read or has been read. */
 export interface HeldBody {
@@ -33,6 +36,13 @@
   movedAt: number
 }
 
+/** Answers that wait in a connection until its caller reads them. */
+export interface HeldAnswers {
+  bytes: number
+  /** Time at which the caller last read, in clock milliseconds. */
+  movedAt: number
+}
+
 /** What becomes of a body: it is read on, it waits for room, or it is refused unrun and its memory freed. */
 export const BodyTurn = { read: 'read', wait: 'wait', giveUp: 'give-up' } as const
 export type BodyTurn = typeof BodyTurn[keyof typeof BodyTurn]
@@ -47,6 +57,11 @@
   return Math.max(1, Math.floor((maximumDescriptors - FILE_DESCRIPTORS) * CALLER_DESCRIPTOR_SHARE))
 }
 
+/** Returns the connections to targets that a process may use at the same time. */
+export function targetConnectionLimit (maximumDescriptors: number): number {
+  return Math.max(1, Math.floor((maximumDescriptors - FILE_DESCRIPTORS) * TARGET_DESCRIPTOR_SHARE))
+}
+
 /** Returns true if a new body of `announcedBytes`, undefined if it comes in chunks, may be read where `heldBytes` are occupied. */
 export function mayTakeBody (announcedBytes: number | undefined, heldBytes: number, capacityBytes: number): boolean {
   const isLarge = (announcedBytes ?? 0) > ORDINARY_BODY_BYTES
@@ -80,3 +95,25 @@
   }
   return turns
 }
+
+/**
+ * Returns the connections to close so that `excessBytes` become free: first those whose callers have read nothing for long, the stillest first,
+ * then those that hold most.
+ */
+export function answersToClose<Answers extends HeldAnswers> (holders: readonly Answers[], excessBytes: number, now: number): Answers[] {
+  const still = stillAnswers(holders, now)
+  const moving = holders.filter((holder) => !still.includes(holder)).sort((one, other) => other.bytes - one.bytes)
+  const closed: Answers[] = []
+  let freedBytes = 0
+  for (const holder of [...still, ...moving]) {
+    if (freedBytes >= excessBytes) break
+    freedBytes += holder.bytes
+    closed.push(holder)
+  }
+  return closed
+}
+
+/** Returns the connections whose callers have read nothing for long, the stillest first. */
+export function stillAnswers<Answers extends HeldAnswers> (holders: readonly Answers[], now: number): Answers[] {
+  return holders.filter((holder) => now - holder.movedAt > MAXIMUM_STILL_MS).sort((one, other) => one.movedAt - other.movedAt)
+}
--- a/packages/decisions/test/memory-yielding.test.ts
+++ b/packages/decisions/test/memory-yielding.test.ts
@@ -41,6 +41,19 @@
     })
   }
 
+  const closings: Array<{ name: string, holders: Array<[megabytes: number, movedAt: number]>, excessMegabytes: number, closed: number[] }> = [
+    { name: 'none where there is room', holders: [[9, 0]], excessMegabytes: 0, closed: [] },
+    { name: 'the stillest first', holders: [[1, 3000], [1, 2000], [9, 9500]], excessMegabytes: 1, closed: [1] },
+    { name: 'then the one that holds most', holders: [[1, 3000], [3, 9000], [9, 9500]], excessMegabytes: 5, closed: [0, 2] }
+  ]
+  for (const { name, holders, excessMegabytes, closed } of closings) {
+    it(`closes connections with unread answers: ${name}`, () => {
+      const held = holders.map(([megabytes, movedAt]) => ({ bytes: megabytes * MEGABYTE, movedAt }))
+      const result = memoryYielding.answersToClose(held, excessMegabytes * MEGABYTE, 10_000)
+      expect(result.map((holder) => held.indexOf(holder))).to.deep.equal(closed)
+    })
+  }
+
   for (const { memoryMb, megabytes } of [{ memoryMb: 350, megabytes: 125 }, { memoryMb: 210, megabytes: 55 }, { memoryMb: 90, megabytes: 8 }]) {
     it(`a host of ${memoryMb} MB has room for ${megabytes} MB`, () => {
       expect(memoryYielding.bodyCapacity(memoryMb)).to.equal(megabytes * MEGABYTE)
--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -10,6 +10,9 @@
 /** Largest part of an answer that the gateway holds in memory, in bytes. */
 const MAXIMUM_BUFFERED_BYTES = 256 * 1024
 
+/** A buffered answer is copied when it is whole, and the parts keep their memory for a while. */
+const COPY_FACTOR = 2
+
 /** Largest answer that is forwarded, in bytes. A target in trouble may send bytes without end. */
 const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
 
@@ -52,17 +55,24 @@
   /** Buffers a part of the body, or starts to forward the answer. Returns false if it must neither be buffered nor forwarded. */
   async #buffer (chunk: Buffer): Promise<boolean> {
     this.#chunks.push(chunk)
+    this.#call.heldAnswer.setBytes(COPY_FACTOR * this.#receivedBytes)
     if (this.#receivedBytes <= MAXIMUM_BUFFERED_BYTES) return true
     const { response } = this.#call
     if (!this.#isForwardable || response.headersSent || response.destroyed || !this.#race.claim(this.#send)) return false
     this.#isForwarding = true
     response.writeHead(this.#answer.status, this.#answer.forwardedHeaders)
-    await this.#forward(this.#takeBody())
+    const chunks = this.#chunks
+    this.#chunks = []
+    for (const held of chunks) await this.#forward(held)
     return true
   }
 
   async #forward (chunk: Buffer): Promise<void> {
-    if (!this.#call.response.write(chunk)) await this.#send.waitForCaller(drain.waitForDrain(this.#call.response))
+    const { response, heldAnswer } = this.#call
+    if (response.write(chunk)) return
+    heldAnswer.setBytes(response.writableLength)
+    await this.#send.waitForCaller(drain.waitForDrain(response))
+    heldAnswer.setBytes(0)
   }
 
   #complete (): flows.SendOutcome {
@@ -89,7 +99,7 @@
   }
 
   #takeBody (): Buffer {
-    const body = Buffer.concat(this.#chunks)
+    const body = this.#chunks.length === 1 ? this.#chunks[0] : Buffer.concat(this.#chunks)
     this.#chunks = []
     return body
   }
--- a/packages/gateway/src/answers.ts
+++ b/packages/gateway/src/answers.ts
@@ -8,8 +8,8 @@
 const LEAVING_RETRY_AFTER_MS = 50
 
 /** Time for which what a refused caller still sends is dropped, in milliseconds, and the most that is dropped, in bytes. */
-const DROP_TIME_MS = 300
-const MAXIMUM_DROPPED_BYTES = 1024 * 1024
+const DROP_TIME_MS = 1000
+const MAXIMUM_DROPPED_BYTES = 4 * 1024 * 1024
 
 /** Retry-after delay of requests whose bodies have no room, in milliseconds. */
 const MEMORY_RETRY_AFTER_MS = 1000
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -2,6 +2,7 @@
 import type * as adapter from '@acaciaweir/platform-adapter'
 import type * as api from '@opentelemetry/api'
 import type * as http from 'node:http'
+import type * as callerConnections from './caller-connections.js'
 
 export type AbortReason = 'caller' | 'deadline' | 'stop'
 
@@ -12,6 +13,7 @@
 export interface Call {
   message: http.IncomingMessage
   response: http.ServerResponse
+  heldAnswer: callerConnections.HeldAnswer
   request: adapter.callerRequest.CallerRequest
   route: decisions.agreementTypes.Route
   service: string
--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -1,3 +1,4 @@
+import type * as runtime from '@acaciaweir/runtime'
 import type * as http from 'node:http'
 import type * as net from 'node:net'
 
@@ -9,10 +10,11 @@
 const CLOSED_REQUESTS_AHEAD = 256
 
 /** Why a caller's connection is closed. */
-export const CloseReason = { requestsAhead: 'requests-ahead', connections: 'connections', refusedBody: 'refused-body' } as const
+export const CloseReason = { requestsAhead: 'requests-ahead', connections: 'connections', unreadAnswers: 'unread-answers' } as const
 export type CloseReason = typeof CloseReason[keyof typeof CloseReason]
 
 interface Connection {
+  answers: runtime.memoryAccount.AnswerHolding
   requestsInProgress: number
   isPaused: boolean
 }
@@ -20,12 +22,14 @@
 /** The connections of callers: bounds their number and the requests that are sent ahead on each. */
 export class CallerConnections {
   readonly #maximumConnections: number
+  readonly #memory: runtime.memoryAccount.MemoryAccount
   readonly #onClosed: (reason: CloseReason, caller: string | undefined) => void
   /** In the order of their last requests. */
   readonly #connections = new Map<net.Socket, Connection>()
 
-  constructor (maximumConnections: number, onClosed: (reason: CloseReason, caller: string | undefined) => void) {
+  constructor (maximumConnections: number, memory: runtime.memoryAccount.MemoryAccount, onClosed: (reason: CloseReason, caller: string | undefined) => void) {
     this.#maximumConnections = maximumConnections
+    this.#memory = memory
     this.#onClosed = onClosed
   }
 
@@ -35,8 +39,12 @@
 
   /** Takes a new connection. Where there are too many, closes the one without a request that has stood still longest, or else the new one. */
   add (socket: net.Socket): void {
-    this.#connections.set(socket, { requestsInProgress: 0, isPaused: false })
-    socket.on('close', () => { this.#connections.delete(socket) })
+    const answers = this.#memory.openAnswers(() => { this.close(socket, CloseReason.unreadAnswers) })
+    this.#connections.set(socket, { answers, requestsInProgress: 0, isPaused: false })
+    socket.on('close', () => {
+      this.#connections.delete(socket)
+      answers.add(-answers.bytes)
+    })
     if (this.#connections.size > this.#maximumConnections) this.close(this.#stillest() ?? socket, CloseReason.connections)
   }
 
@@ -59,6 +67,11 @@
     return true
   }
 
+  /** Returns a holding for the answer to one request on a connection. */
+  holdAnswer (socket: net.Socket): HeldAnswer {
+    return new HeldAnswer(socket, this.#connections.get(socket)?.answers)
+  }
+
   close (socket: net.Socket, reason: CloseReason): void {
     this.#onClosed(reason, socket.remoteAddress)
     this.#connections.delete(socket)
@@ -79,3 +92,22 @@
     return undefined
   }
 }
+
+/** The part of an answer that the gateway holds, because it is not complete or its caller has yet to read it. */
+export class HeldAnswer {
+  readonly #socket: net.Socket
+  readonly #answers: runtime.memoryAccount.AnswerHolding | undefined
+  #bytes = 0
+
+  constructor (socket: net.Socket, answers: runtime.memoryAccount.AnswerHolding | undefined) {
+    this.#socket = socket
+    this.#answers = answers
+  }
+
+  setBytes (bytes: number): void {
+    if (this.#socket.destroyed) return
+    const added = bytes - this.#bytes
+    this.#bytes = bytes
+    this.#answers?.add(added)
+  }
+}
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -77,10 +77,6 @@
       clock: options.clock,
       dropWaitingConnections: () => { this.#dropWaitingConnections() }
     })
-    this.#connections = new callerConnections.CallerConnections(decisions.memoryYielding.callerConnectionLimit(options.maximumDescriptors), (reason, caller) => {
-      options.metrics.countClosedConnection(reason)
-      options.decisionLog.write({ event: 'connection-closed', reason, caller })
-    })
     this.#memory = new runtime.memoryAccount.MemoryAccount({
       clock: options.clock,
       capacityBytes: decisions.memoryYielding.bodyCapacity(options.memoryMb),
@@ -88,6 +84,10 @@
         options.logger.warn({ event: isPushingBack ? 'memory-pushes-back' : 'memory-regained', heldBytes: this.#memory.heldBytes, largestBytes, connections: this.#connections.size })
       }
     })
+    this.#connections = new callerConnections.CallerConnections(decisions.memoryYielding.callerConnectionLimit(options.maximumDescriptors), this.#memory, (reason, caller) => {
+      options.metrics.countClosedConnection(reason)
+      options.decisionLog.write({ event: 'connection-closed', reason, caller })
+    })
     this.#server.on('connection', (socket) => {
       this.#connections.add(socket)
       this.#queue.recordConnection()
@@ -100,9 +100,10 @@
     return this.#inProgress
   }
 
-  /** Memory that bodies occupy, in bytes. */
-  get bodyBytes (): number {
-    return this.#memory.heldBytes
+  /** Memory that request bodies and unread answers occupy, in bytes. */
+  get heldBytes (): { bodies: number, answers: number } {
+    const { heldBytes, answerBytes } = this.#memory
+    return { bodies: heldBytes - answerBytes, answers: answerBytes }
   }
 
   /** Bodies that are not read on for want of memory. */
@@ -114,6 +115,11 @@
     return this.#connections.size
   }
 
+  /** Closes a connection whose caller doesn't read its answer, so that the target's connection becomes free. */
+  closeStillestAnswers (): void {
+    this.#memory.closeStillestAnswers()
+  }
+
   listen (port: number, address: string): Promise<void> {
     return new Promise((resolve, reject) => {
       this.#server.once('error', reject)
@@ -270,9 +276,11 @@
 
   async #serveWhole (message: http.IncomingMessage, response: http.ServerResponse, arrival: calls.Arrival, admission: AdmittedRequest, deadlineAt: number, body: Buffer): Promise<void> {
     const { request, route, account } = admission
+    const heldAnswer = this.#connections.holdAnswer(message.socket)
     const call: calls.Call = {
       message,
       response,
+      heldAnswer,
       request,
       route,
       account,
@@ -292,6 +300,12 @@
       span: runtime.telemetry.startSpan('request', runtime.telemetry.contextFromHeaders(message.headers), { request: request.attemptId })
     }
     await this.#serveUntilDeadline(call)
+    if (response.writableFinished) {
+      heldAnswer.setBytes(0)
+    } else {
+      heldAnswer.setBytes(response.writableLength)
+      response.on('finish', () => { heldAnswer.setBytes(0) })
+    }
   }
 
   /** Serves a call and aborts it when its caller disconnects, its deadline passes or the gateway stops. */
@@ -430,8 +444,8 @@
   return message.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
 }
 
-/** Returns true if the rest of a refused request is small enough to be read, so that the connection can be used again. */
+/** Returns true if the rest of a refused request has an end within the limit and is read, so that the connection can be used again. */
 function mayReadOn (message: http.IncomingMessage, table: decisions.routeTable.RouteTable | undefined): boolean {
   const bytes = runtime.bodyReader.announcedBytes(message)
-  return message.complete || (bytes !== undefined && bytes <= Math.min(decisions.memoryYielding.ORDINARY_BODY_BYTES, table?.agreement.limits.bodyBytes ?? Infinity))
+  return message.complete || (bytes !== undefined && bytes <= (table?.agreement.limits.bodyBytes ?? decisions.memoryYielding.ORDINARY_BODY_BYTES))
 }
--- a/packages/gateway/src/connection-slots.ts
+++ b/packages/gateway/src/connection-slots.ts
@@ -37,31 +37,45 @@
  */
 export class ConnectionSlots {
   readonly #limitOf: (service: string) => number
+  readonly #maximumConnections: number
+  readonly #onFull: () => void
+  #totalInUse = 0
   readonly #inUse = new Map<string, number>()
   /** Requests that wait, by service, the most urgent first and in order of arrival. */
   readonly #turns = new Map<string, WaitingTurn[]>()
 
-  /** `limitOf` returns the connections that this gateway may open to each target of a service. */
-  constructor (limitOf: (service: string) => number) {
+  /** `limitOf` returns the connections that this gateway may open to each target of a service; `maximumConnections` bounds those to all targets. `onFull` frees one of them. */
+  constructor (limitOf: (service: string) => number, maximumConnections = Infinity, onFull = (): void => {}) {
     this.#limitOf = limitOf
+    this.#maximumConnections = maximumConnections
+    this.#onFull = onFull
   }
 
   hasRoom (entry: Entry): boolean {
-    return (this.#inUse.get(targetRunAtAddress(entry)) ?? 0) < this.#limitOf(entry.service)
+    return this.#totalInUse < this.#maximumConnections && (this.#inUse.get(targetRunAtAddress(entry)) ?? 0) < this.#limitOf(entry.service)
   }
 
   /** Takes a connection to a target. Call the returned function once, when the connection is free again. */
   take (entry: Entry): () => void {
     const key = targetRunAtAddress(entry)
     this.#inUse.set(key, (this.#inUse.get(key) ?? 0) + 1)
+    this.#totalInUse += 1
     return () => {
+      const wasFull = this.#totalInUse >= this.#maximumConnections
+      this.#totalInUse -= 1
       const left = (this.#inUse.get(key) ?? 0) - 1
       if (left > 0) this.#inUse.set(key, left)
       else this.#inUse.delete(key)
-      this.#turns.get(entry.service)?.[0]?.wake()
+      if (wasFull) for (const turns of this.#turns.values()) turns[0]?.wake()
+      else this.#turns.get(entry.service)?.[0]?.wake()
     }
   }
 
+  /** Call it when a request has to wait. */
+  makeRoom (): void {
+    if (this.#totalInUse >= this.#maximumConnections) this.#onFull()
+  }
+
   /** Queues a request behind those of its service that are as urgent. Call `leaveQueue` when it no longer waits. */
   joinQueue (service: string, rank: number): WaitingTurn {
     const turn = new WaitingTurn(rank)
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -8,7 +8,7 @@
   agreementVersion: () => number
   livePeers: () => number
   heldPromptParts: () => number
-  bodyBytes: () => number
+  heldBytes: () => Record<string, number>
   waitingBodies: () => number
   callerConnections: () => number
   limitedTargets: () => number
@@ -40,7 +40,7 @@
     this.#connectionDrops = new metrics.Counter({ name: 'acaciaweir_connection_drops_total', help: 'Times that the connections waiting to be accepted were dropped', registers })
     this.#permits = new metrics.Counter({ name: 'acaciaweir_target_permits_total', help: 'Permits asked for, for targets that name a limit', labelNames: ['outcome'], registers })
     this.#closedConnections = new metrics.Counter({ name: 'acaciaweir_closed_connections_total', help: 'Connections of callers that were closed to bound what they hold', labelNames: ['reason'], registers })
-    this.#server.addGauge('acaciaweir_body_bytes', 'Memory that request bodies occupy', source.bodyBytes)
+    this.#server.addLabelledGauge('acaciaweir_held_bytes', 'Memory that is held for callers', 'part', source.heldBytes)
     this.#server.addGauge('acaciaweir_waiting_bodies', 'Request bodies that are not read on for want of memory', source.waitingBodies)
     this.#server.addGauge('acaciaweir_caller_connections', 'Open connections of callers', source.callerConnections)
     this.#server.addGauge('acaciaweir_limited_targets', 'Targets that name a limit', source.limitedTargets)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -356,7 +356,7 @@
       targetLimits: this.#targetLimits,
       targetRests: new decisions.targetRests.TargetRests(),
       permits: this.#targetPermits,
-      slots: new connectionSlots.ConnectionSlots(connectionLimit),
+      slots: new connectionSlots.ConnectionSlots(connectionLimit, decisions.memoryYielding.targetConnectionLimit(this.#settings.maximumDescriptors), () => { this.#callerServer.closeStillestAnswers() }),
       leavingAdmission: this.#leavingAdmission,
       availabilityZone: this.#settings.availabilityZone,
       announce
@@ -399,7 +399,7 @@
       agreementVersion: () => this.#configurationWatch.version,
       livePeers: () => this.#peerTable.liveHeartbeats(this.#clock.now()).length,
       heldPromptParts: () => this.#promptParts.heldParts,
-      bodyBytes: () => this.#callerServer.bodyBytes,
+      heldBytes: () => this.#callerServer.heldBytes,
       waitingBodies: () => this.#callerServer.waitingBodies,
       callerConnections: () => this.#callerServer.connections,
       limitedTargets: () => this.#targetLimits.size,
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -61,7 +61,10 @@
     }
     const { response } = this.#call
     const hasRoom = response.write(events.length === 1 ? events[0].bytes : Buffer.concat(events.map((event) => event.bytes)))
-    if (!hasRoom) await this.#send.waitForCaller(drain.waitForDrain(response))
+    if (hasRoom) return true
+    this.#call.heldAnswer.setBytes(response.writableLength)
+    await this.#send.waitForCaller(drain.waitForDrain(response))
+    this.#call.heldAnswer.setBytes(0)
     return true
   }
 
--- a/packages/gateway/src/target-chooser.ts
+++ b/packages/gateway/src/target-chooser.ts
@@ -56,6 +56,7 @@
         const chosen = await this.#placeUnlessFull(call, triedTargets)
         if (chosen !== undefined || this.#fullTargets(call, triedTargets).length === 0) return chosen
         turn ??= slots.joinQueue(call.service, call.rank)
+        slots.makeRoom()
         await turn.next(ROOM_CHECK_INTERVAL_MS, call.abortController.signal)
       }
       return undefined
--- a/packages/runtime/src/memory-account.ts
+++ b/packages/runtime/src/memory-account.ts
@@ -18,7 +18,7 @@
 
 export interface MemoryAccountOptions {
   clock: decisions.clock.Clock
-  /** Bytes that all bodies together may occupy. */
+  /** Bytes that all bodies and unread answers together may occupy. */
   capacityBytes: number
   /** Called when the account begins or ceases to push back, with the sizes of the largest bodies. */
   onPushBack: (isPushingBack: boolean, largestBytes: number[]) => void
@@ -58,12 +58,33 @@
   }
 }
 
-/** Adds up the memory of request bodies and makes those wait that would exceed what the process has. */
+/** The answers that wait in one connection until its caller reads them. */
+export class AnswerHolding implements decisions.memoryYielding.HeldAnswers {
+  readonly #account: MemoryAccount
+  readonly close: () => void
+  bytes = 0
+  movedAt = 0
+
+  /** `close` closes the connection, which must release the bytes in time. */
+  constructor (account: MemoryAccount, close: () => void) {
+    this.#account = account
+    this.close = close
+  }
+
+  /** Adds bytes that wait, or takes away those that the caller has read. */
+  add (bytes: number): void {
+    if (bytes !== 0) this.#account.addAnswerBytes(this, bytes)
+  }
+}
+
+/** Adds up the memory of request bodies and unread answers, and lets go of what would exceed what the process has. */
 export class MemoryAccount {
   readonly #options: MemoryAccountOptions
   /** Bodies that are larger than an ordinary one and not whole yet. */
   readonly #growing = new Set<BodyHolding>()
+  readonly #answers = new Set<AnswerHolding>()
   #heldBytes = 0
+  #answerBytes = 0
   #timer: NodeJS.Timeout | undefined
   #isPushingBack = false
 
@@ -75,6 +96,11 @@
     return this.#heldBytes
   }
 
+  /** Part of `heldBytes` that unread answers occupy. */
+  get answerBytes (): number {
+    return this.#answerBytes
+  }
+
   get waitingBodies (): number {
     return [...this.#growing].filter((body) => body.isWaiting).length
   }
@@ -88,6 +114,34 @@
     return new BodyHolding(this, reader)
   }
 
+  openAnswers (close: () => void): AnswerHolding {
+    return new AnswerHolding(this, close)
+  }
+
+  addAnswerBytes (answers: AnswerHolding, bytes: number): void {
+    if (bytes < 0 || answers.bytes === 0) answers.movedAt = this.#options.clock.now()
+    answers.bytes += bytes
+    this.#answerBytes += bytes
+    this.#heldBytes += bytes
+    if (answers.bytes > 0) this.#answers.add(answers)
+    else this.#answers.delete(answers)
+    const excessBytes = this.#heldBytes - this.#options.capacityBytes
+    if (bytes <= 0 || excessBytes <= 0) return
+    this.#closeAnswers(decisions.memoryYielding.answersToClose([...this.#answers], excessBytes, this.#options.clock.now()))
+  }
+
+  /** Closes the connection whose caller has not read for longest, if one has not for long. */
+  closeStillestAnswers (): void {
+    this.#closeAnswers(decisions.memoryYielding.stillAnswers([...this.#answers], this.#options.clock.now()).slice(0, 1))
+  }
+
+  #closeAnswers (holders: AnswerHolding[]): void {
+    for (const holder of holders) {
+      holder.add(-holder.bytes)
+      holder.close()
+    }
+  }
+
   grow (body: BodyHolding, bytes: number, missingBytes: number): void {
     this.#heldBytes += bytes
     body.bytes += bytes
