Don't take bodies that wait for room for still ones, and give up still ordinary ones

Cause: a body that the account itself had paused was refused after 2 s, and might wait past its request's deadline; ordinary bodies that never ended kept their room until Node's time limit; a request without a body was refused for want of memory. Change: only a body that is read can stand still; a waiting one ends at its deadline; still ordinary bodies are given up when a new one has no room; a request without a body is always taken; the first block is no larger than what came, 4 KB at least.

--- a/packages/decisions/src/memory-yielding.ts
+++ b/packages/decisions/src/memory-yielding.ts
@@ -34,6 +34,8 @@
   missingBytes: number
   /** Time at which it last grew, in clock milliseconds. */
   movedAt: number
+  /** It is not read, for want of room. */
+  isWaiting: boolean
 }
 
 /** Answers that wait in a connection until its caller reads them. */
@@ -64,6 +66,7 @@
 
 /** Returns true if a new body of `announcedBytes`, undefined if it comes in chunks, may be read where `heldBytes` are occupied. */
 export function mayTakeBody (announcedBytes: number | undefined, heldBytes: number, capacityBytes: number): boolean {
+  if (announcedBytes === 0) return true
   const isLarge = (announcedBytes ?? 0) > ORDINARY_BODY_BYTES
   return heldBytes + (isLarge ? 0 : announcedBytes ?? ORDINARY_BODY_BYTES) <= capacityBytes * (isLarge ? LARGE_BODY_SHARE : 1)
 }
@@ -83,7 +86,7 @@
   const turns = new Map<Body, BodyTurn>()
   let roomBytes = capacityBytes * LARGE_BODY_SHARE - heldBytes
   for (const body of [...bodies].sort((one, other) => one.missingBytes - other.missingBytes)) {
-    if (now - body.movedAt > MAXIMUM_STILL_MS) {
+    if (!body.isWaiting && now - body.movedAt > MAXIMUM_STILL_MS) {
       turns.set(body, BodyTurn.giveUp)
       roomBytes += body.bytes
     } else if (body.missingBytes <= roomBytes) {
@@ -101,7 +104,7 @@
  * then those that hold most.
  */
 export function answersToClose<Answers extends HeldAnswers> (holders: readonly Answers[], excessBytes: number, now: number): Answers[] {
-  const still = stillAnswers(holders, now)
+  const still = stillHolders(holders, now)
   const moving = holders.filter((holder) => !still.includes(holder)).sort((one, other) => other.bytes - one.bytes)
   const closed: Answers[] = []
   let freedBytes = 0
@@ -113,7 +116,7 @@
   return closed
 }
 
-/** Returns the connections whose callers have read nothing for long, the stillest first. */
-export function stillAnswers<Answers extends HeldAnswers> (holders: readonly Answers[], now: number): Answers[] {
+/** Returns the bodies or answers that have not moved for long, the stillest first. */
+export function stillHolders<Holder extends HeldAnswers> (holders: readonly Holder[], now: number): Holder[] {
   return holders.filter((holder) => now - holder.movedAt > MAXIMUM_STILL_MS).sort((one, other) => one.movedAt - other.movedAt)
 }
--- a/packages/decisions/test/memory-yielding.test.ts
+++ b/packages/decisions/test/memory-yielding.test.ts
@@ -8,7 +8,7 @@
 const MEGABYTE = 1024 * 1024
 const CAPACITY = 40 * MEGABYTE
 
-type Row = [megabytes: number, missingMegabytes: number, movedAt: number]
+type Row = [megabytes: number, missingMegabytes: number, movedAt: number, isWaiting?: boolean]
 
 describe('turns of bodies', () => {
   const cases: Array<{ name: string, bodies: Row[], heldMegabytes?: number, now: number, turns: string[] }> = [
@@ -17,11 +17,12 @@
     { name: 'each that is read has room to its end', bodies: [[8, 4, 0], [8, 3, 0], [8, 4, 0]], now: 100, turns: ['wait', 'read', 'wait'] },
     { name: 'one that stands still gives its room to the next', bodies: [[8, 9, 9000], [20, 3, 0]], now: 10_000, turns: ['read', 'give-up'] },
     { name: 'one that moves keeps its room', bodies: [[8, 9, 9000], [20, 2, 8500]], now: 10_000, turns: ['wait', 'read'] },
+    { name: 'one that waits for room is not taken for one that stands still', bodies: [[8, 9, 0, true], [20, 2, 9500]], now: 10_000, turns: ['wait', 'read'] },
     { name: 'bodies that are whole count, too', bodies: [[4, 2, 0]], heldMegabytes: 29, now: 100, turns: ['wait'] }
   ]
   for (const { name, bodies, heldMegabytes, now, turns } of cases) {
     it(name, () => {
-      const held = bodies.map(([megabytes, missing, movedAt]) => ({ bytes: megabytes * MEGABYTE, missingBytes: missing * MEGABYTE, movedAt }))
+      const held = bodies.map(([megabytes, missing, movedAt, isWaiting = false]) => ({ isWaiting, bytes: megabytes * MEGABYTE, missingBytes: missing * MEGABYTE, movedAt }))
       const heldBytes = heldMegabytes === undefined ? held.reduce((sum, body) => sum + body.bytes, 0) : heldMegabytes * MEGABYTE
       const result = memoryYielding.bodyTurns(held, heldBytes, CAPACITY, now)
       expect(held.map((body) => result.get(body))).to.deep.equal(turns)
@@ -33,6 +34,7 @@
     { name: 'a large one is refused where large ones have no room', announcedBytes: 4 * MEGABYTE, heldMegabytes: 31, isTaken: false },
     { name: 'an ordinary one is taken then', announcedBytes: 1000, heldMegabytes: 31, isTaken: true },
     { name: 'one without a length is taken then', announcedBytes: undefined, heldMegabytes: 31, isTaken: true },
+    { name: 'a request without a body is always taken', announcedBytes: 0, heldMegabytes: 50, isTaken: true },
     { name: 'an ordinary one is refused where nothing has room', announcedBytes: 1000, heldMegabytes: 40, isTaken: false }
   ]
   for (const { name, announcedBytes, heldMegabytes, isTaken } of newBodies) {
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -262,7 +262,7 @@
     }
     const reading = announcedBytes !== undefined && announcedBytes > admission.limits.bodyBytes
       ? { kind: 'too-large' as const }
-      : await new runtime.bodyReader.BodyReader(message, admission.limits.bodyBytes, this.#memory, this.#options.clock).read()
+      : await new runtime.bodyReader.BodyReader(message, admission.limits.bodyBytes, this.#memory, this.#options.clock, deadlineAt).read()
     if (reading.kind !== 'whole') {
       this.#refuse(message, response, reading.kind === 'too-large' ? answers.BODY_REFUSAL : answers.MEMORY_REFUSAL, arrival, table)
       return
--- a/packages/runtime/src/body-reader.ts
+++ b/packages/runtime/src/body-reader.ts
@@ -5,7 +5,7 @@
 /** Size of the blocks in which chunks are gathered, in bytes. The HTTP parser makes an object of each chunk, which may be of a byte. */
 const BLOCK_BYTES = 64 * 1024
 
-/** Size of the first block of a body without an announced length, in bytes. */
+/** Least size of the first block, in bytes. */
 const FIRST_BLOCK_BYTES = 4 * 1024
 
 export type BodyResult =
@@ -30,17 +30,22 @@
   readonly #blocks: Buffer[] = []
   readonly #expectedBytes: number | undefined
   #receivedBytes = 0
+  /** Ends a body that has had to wait at the deadline of its request. */
+  #waitTimer: NodeJS.Timeout | undefined
   /** Bytes of the last block that are filled. */
   #filledBytes = 0
   #settle: (result: BodyResult | Error) => void = () => {}
 
-  constructor (message: http.IncomingMessage, maximumBytes: number, account: memoryAccount.MemoryAccount, clock: decisions.clock.Clock) {
+  constructor (message: http.IncomingMessage, maximumBytes: number, account: memoryAccount.MemoryAccount, clock: decisions.clock.Clock, deadlineAt: number) {
     this.#message = message
     this.#maximumBytes = maximumBytes
     this.#clock = clock
     this.#expectedBytes = announcedBytes(message)
     this.#holding = account.open({
-      pause: () => { message.pause() },
+      pause: () => {
+        message.pause()
+        this.#waitTimer ??= setTimeout(() => { this.#settle({ kind: 'given-up' }) }, Math.max(0, deadlineAt - clock.now()))
+      },
       resume: () => { message.resume() },
       giveUp: () => { this.#settle({ kind: 'given-up' }) }
     })
@@ -56,6 +61,7 @@
       const onClose = (): void => { this.#settle(new Error('the caller has left')) }
       this.#settle = (result) => {
         this.#settle = () => {}
+        clearTimeout(this.#waitTimer)
         message.off('data', onData).off('end', onEnd).off('close', onClose)
         if (!(result instanceof Error) && result.kind === 'whole') {
           resolve(result)
@@ -98,7 +104,7 @@
     const last = this.#blocks.at(-1)
     if (last !== undefined && this.#filledBytes < last.length) return last
     const expected = this.#expectedBytes === undefined ? Infinity : this.#expectedBytes - this.#holding.bytes
-    const size = this.#blocks.length === 0 && this.#expectedBytes === undefined ? Math.max(FIRST_BLOCK_BYTES, wantedBytes) : BLOCK_BYTES
+    const size = this.#blocks.length === 0 ? Math.max(FIRST_BLOCK_BYTES, wantedBytes) : BLOCK_BYTES
     const block = Buffer.allocUnsafeSlow(Math.max(1, Math.min(size, expected, BLOCK_BYTES)))
     this.#blocks.push(block)
     this.#filledBytes = 0
--- a/packages/runtime/src/memory-account.ts
+++ b/packages/runtime/src/memory-account.ts
@@ -82,6 +82,8 @@
   readonly #options: MemoryAccountOptions
   /** Bodies that are larger than an ordinary one and not whole yet. */
   readonly #growing = new Set<BodyHolding>()
+  /** Ordinary bodies that are not whole yet. */
+  readonly #ordinary = new Set<BodyHolding>()
   readonly #answers = new Set<AnswerHolding>()
   #heldBytes = 0
   #answerBytes = 0
@@ -107,7 +109,10 @@
 
   /** Returns true if a body of `announcedBytes`, undefined for one in chunks, may be read now. */
   mayTake (announcedBytes: number | undefined): boolean {
-    return decisions.memoryYielding.mayTakeBody(announcedBytes, this.#heldBytes, this.#options.capacityBytes)
+    const { capacityBytes } = this.#options
+    if (decisions.memoryYielding.mayTakeBody(announcedBytes, this.#heldBytes, capacityBytes)) return true
+    this.#giveUpStillBodies()
+    return decisions.memoryYielding.mayTakeBody(announcedBytes, this.#heldBytes, capacityBytes)
   }
 
   open (reader: BodyReader): BodyHolding {
@@ -132,7 +137,7 @@
 
   /** Closes the connection whose caller has not read for longest, if one has not for long. */
   closeStillestAnswers (): void {
-    this.#closeAnswers(decisions.memoryYielding.stillAnswers([...this.#answers], this.#options.clock.now()).slice(0, 1))
+    this.#closeAnswers(decisions.memoryYielding.stillHolders([...this.#answers], this.#options.clock.now()).slice(0, 1))
   }
 
   #closeAnswers (holders: AnswerHolding[]): void {
@@ -146,23 +151,36 @@
     this.#heldBytes += bytes
     body.bytes += bytes
     body.missingBytes = missingBytes
-    if (body.bytes < ORDINARY_BODY_BYTES || missingBytes === 0 || this.#growing.has(body)) return
+    if (missingBytes === 0 || this.#growing.has(body)) return
     body.movedAt = this.#options.clock.now()
+    if (body.bytes < ORDINARY_BODY_BYTES) {
+      this.#ordinary.add(body)
+      return
+    }
+    this.#ordinary.delete(body)
     this.#growing.add(body)
     this.#review()
   }
 
   complete (body: BodyHolding): void {
+    this.#ordinary.delete(body)
     if (this.#growing.delete(body)) this.#review()
   }
 
   release (body: BodyHolding): void {
     this.#heldBytes -= body.bytes
     body.bytes = 0
+    this.#ordinary.delete(body)
     const wasGrowing = this.#growing.delete(body)
     if (wasGrowing || this.#timer !== undefined) this.#scheduleReview()
   }
 
+  /** Gives up the bodies that have stood still for long, while the account is full. */
+  #giveUpStillBodies (): void {
+    const bodies = [...this.#ordinary, ...this.#growing].filter((body) => !body.isWaiting)
+    for (const body of decisions.memoryYielding.stillHolders(bodies, this.#options.clock.now())) this.#giveUp(body)
+  }
+
   #review (): void {
     const { clock, capacityBytes } = this.#options
     for (const [body, turn] of decisions.memoryYielding.bodyTurns([...this.#growing], this.#heldBytes, capacityBytes, clock.now())) {
@@ -194,7 +212,10 @@
     if (body.isWaiting === isWaiting) return
     body.isWaiting = isWaiting
     if (isWaiting) body.reader.pause()
-    else body.reader.resume()
+    else {
+      body.movedAt = this.#options.clock.now()
+      body.reader.resume()
+    }
   }
 
   #giveUp (body: BodyHolding): void {
--- a/packages/runtime/test/memory-account.test.ts
+++ b/packages/runtime/test/memory-account.test.ts
@@ -71,6 +71,15 @@
     expect(account.answerBytes).to.equal(5 * MEGABYTE)
   })
 
+  it('gives up ordinary bodies that stand still where a new one has no room', () => {
+    for (let index = 0; index < 140; index += 1) body(`body ${index}`, 60_000, 5000)
+    clock.milliseconds = 1000
+    expect([account.mayTake(1000), account.mayTake(0)]).to.deep.equal([false, true])
+    clock.milliseconds = 2500
+    expect(account.mayTake(1000)).to.equal(true)
+    expect(account.heldBytes).to.equal(0)
+  })
+
   it('refuses large bodies before ordinary ones', () => {
     account.openAnswers(() => {}).add(7 * MEGABYTE)
     expect([account.mayTake(MEGABYTE), account.mayTake(1000), account.mayTake(undefined)]).to.deep.equal([false, true, true])
