Tests: requests sent ahead on one connection are all started

The connections of callers start requests themselves, so that they can hold some back; nothing else changes.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -48,23 +48,23 @@
     if (this.#connections.size > this.#maximumConnections) this.close(this.#stillest() ?? socket, CloseReason.connections)
   }
 
-  /** Counts a request until its response has ended. Returns false if too many were sent ahead and the connection is closed. */
-  recordRequest (socket: net.Socket, response: http.ServerResponse): boolean {
+  /** Starts a request and counts it until its response has ended. Doesn't start it if too many were sent ahead and the connection is closed. */
+  takeRequest (socket: net.Socket, response: http.ServerResponse, start: () => void): void {
     const connection = this.#connections.get(socket)
-    if (connection === undefined || socket.destroyed) return false
+    if (connection === undefined || socket.destroyed) return
     this.#connections.delete(socket)
     this.#connections.set(socket, connection)
     connection.requestsInProgress += 1
     response.on('close', () => { this.#recordEnd(socket, connection) })
     if (connection.requestsInProgress >= CLOSED_REQUESTS_AHEAD) {
       this.close(socket, CloseReason.requestsAhead)
-      return false
+      return
     }
     if (connection.requestsInProgress >= MAXIMUM_REQUESTS_AHEAD) {
       connection.isPaused = true
       socket.pause()
     }
-    return true
+    start()
   }
 
   /** Returns a holding for the answer to one request on a connection. */
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -72,7 +72,10 @@
   constructor (options: CallerServerOptions) {
     this.#options = options
     const serverOptions = { maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS }
-    this.#server = http.createServer(serverOptions, (message, response) => { this.#enqueue(message, response) })
+    this.#server = http.createServer(serverOptions, (message, response) => {
+      const arrival = this.#recordArrival(message)
+      this.#connections.takeRequest(message.socket, response, () => { this.#enqueue(message, response, arrival) })
+    })
     this.#queue = new runtime.admissionQueue.AdmissionQueue({
       clock: options.clock,
       dropWaitingConnections: () => { this.#dropWaitingConnections() }
@@ -181,10 +184,8 @@
     })
   }
 
-  #enqueue (message: http.IncomingMessage, response: http.ServerResponse): void {
-    if (!this.#connections.recordRequest(message.socket, response)) return
+  #enqueue (message: http.IncomingMessage, response: http.ServerResponse, arrival: calls.Arrival): void {
     this.#inProgress += 1
-    const arrival = this.#recordArrival(message)
     const fail = (error: Error): void => { this.#fail(message, response, error) }
     this.#queue.push({
       hasLeft: () => message.socket.destroyed || message.socket.readableEnded,
--- /dev/null
+++ b/packages/gateway/test/caller-connections.test.ts
@@ -0,0 +1,82 @@
+// Guards against requests sent ahead without a bound: Node resumes a socket at the end of each message, and parses what it has read at once
+// whole. Also against a connection that is cut after requests of it have been passed on.
+import * as runtime from '@acaciaweir/runtime'
+import * as chai from 'chai'
+import * as http from 'node:http'
+import * as net from 'node:net'
+import * as timers from 'node:timers/promises'
+import * as callerConnections from '../src/caller-connections.js'
+import * as fleets from './fleet.js'
+import * as virtualClock from './virtual-clock.js'
+
+const { expect } = chai
+
+const REQUESTS = 240
+const MAXIMUM_STARTED = 64
+
+/** Time in which a request that isn't held up would be started, in milliseconds. */
+const SETTLING_MS = 300
+
+const requestAt = (index: number): string => `GET /${index} HTTP/1.1\r\nHost: a\r\n\r\n`
+
+describe('connections of callers that send requests ahead', () => {
+  let started: http.ServerResponse[]
+  let closed: string[]
+  let isAnswering: boolean
+  let server: http.Server
+  let socket: net.Socket
+  let received: string
+
+  beforeEach(async () => {
+    started = []
+    closed = []
+    isAnswering = false
+    received = ''
+    const memory = new runtime.memoryAccount.MemoryAccount({ clock: new virtualClock.VirtualClock(), capacityBytes: 1_000_000, onPushBack: () => {} })
+    const connections = new callerConnections.CallerConnections(10, memory, (reason) => { closed.push(reason) })
+    server = http.createServer((message, response) => {
+      connections.takeRequest(message.socket, response, () => {
+        started.push(response)
+        if (isAnswering) response.end(message.url)
+        else response.on('answer', () => { response.end(message.url) })
+      })
+    })
+    server.on('connection', (connection) => { connections.add(connection) })
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    socket = net.connect((server.address() as net.AddressInfo).port, '127.0.0.1')
+    socket.setNoDelay(true)
+    socket.on('data', (chunk) => { received += chunk.toString() }).on('error', () => {})
+  })
+  afterEach(() => {
+    socket.destroy()
+    server.closeAllConnections()
+    server.close()
+  })
+
+  const answeredPaths = (): string[] => received.match(/(?<=\r\n)\/\d+(?=HTTP|$|\r)/g) ?? []
+
+  const writings: Array<{ name: string, write: () => Promise<void> }> = [
+    {
+      name: 'one at a time',
+      write: async () => {
+        for (let index = 0; index < REQUESTS; index += 1) {
+          socket.write(requestAt(index))
+          await timers.setTimeout(2)
+        }
+      }
+    },
+    { name: 'in one write', write: async () => { socket.write(Array.from({ length: REQUESTS }, (_, index) => requestAt(index)).join('')) } }
+  ]
+  for (const { name, write } of writings) {
+    it(`starts a bounded number and answers all in the end, in order: ${name}`, async () => {
+      await write()
+      await timers.setTimeout(SETTLING_MS)
+      expect(started.length).to.be.within(1, MAXIMUM_STARTED)
+      isAnswering = true
+      for (const response of [...started]) response.emit('answer')
+      await fleets.eventually(() => started.length === REQUESTS && received.includes(`/${REQUESTS - 1}`))
+      expect(closed).to.deep.equal([])
+      expect(answeredPaths()).to.deep.equal(Array.from({ length: REQUESTS }, (_, index) => `/${index}`))
+    })
+  }
+})
