Hold back what a caller sends ahead on one connection, and cut nothing that was passed on

Node resumes a socket at the end of each message, so that the pause had no effect, and the 256th request cut a connection of which 255 were passed on. Now the pause holds, at 32 requests in progress; what has been read beyond waits unstarted, and is refused unrun once its deadline has passed. At 256 unanswered the connection is closed only if none was passed on.

--- a/packages/gateway/src/answers.ts
+++ b/packages/gateway/src/answers.ts
@@ -20,6 +20,9 @@
 /** Refusal of a request whose body exceeds the limit. */
 export const BODY_REFUSAL: calls.Refusal = { status: 413, reason: 'the body is too large' }
 
+/** Refusal of a request that can't be run in the time that its caller waits. */
+export const DEADLINE_REFUSAL: calls.Refusal = { status: 503, reason: 'the caller\'s deadline has passed' }
+
 /** Refusal of a request that could outlast a leaving gateway. */
 export const LEAVING_REFUSAL: calls.Refusal = { status: 503, reason: 'the gateway is leaving', retryAfterMs: LEAVING_RETRY_AFTER_MS }
 
--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -2,21 +2,37 @@
 import type * as http from 'node:http'
 import type * as net from 'node:net'
 
-/** Requests in progress on a connection at which no more are read from it, and at which reading goes on. */
-const MAXIMUM_REQUESTS_AHEAD = 64
-const RESUMED_REQUESTS_AHEAD = 32
+/** Requests in progress on a connection at which no more are started or read from it, and at which reading goes on. */
+const MAXIMUM_REQUESTS_AHEAD = 32
+const RESUMED_REQUESTS_AHEAD = 16
 
-/** Requests in progress on a connection at which it is closed. What has been read at once is parsed whole, so that a pause alone doesn't bound them. */
+/** Requests read from a connection and not answered at which it is closed, if none of them has been passed on. What has been read at once is parsed whole. */
 const CLOSED_REQUESTS_AHEAD = 256
 
+/** Time after which a connection is closed whose next request is overdue because it wasn't read, if it is read again, in milliseconds. */
+const OVERDUE_MS = 5000
+
 /** Why a caller's connection is closed. */
-export const CloseReason = { requestsAhead: 'requests-ahead', connections: 'connections', unreadAnswers: 'unread-answers' } as const
+export const CloseReason = { requestsAhead: 'requests-ahead', connections: 'connections', unreadAnswers: 'unread-answers', overdue: 'overdue' } as const
 export type CloseReason = typeof CloseReason[keyof typeof CloseReason]
 
+/** Statuses of requests that could not be read, by the code of the error. */
+const UNREADABLE_STATUS: Record<string, string | undefined> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
+}
+
 interface Connection {
   answers: runtime.memoryAccount.AnswerHolding
   requestsInProgress: number
+  /** Requests in progress that a target may have begun to run. */
+  requestsPassedOn: number
+  /** Starts of the requests that have been read beyond the bound, in order. */
+  unstarted: Array<() => void>
   isPaused: boolean
+  /** The next request may be late because the connection was paused. */
+  mayBeLate: boolean
 }
 
 /** The connections of callers: bounds their number and the requests that are sent ahead on each. */
@@ -40,31 +56,61 @@
   /** Takes a new connection. Where there are too many, closes the one without a request that has stood still longest, or else the new one. */
   add (socket: net.Socket): void {
     const answers = this.#memory.openAnswers(() => { this.close(socket, CloseReason.unreadAnswers) })
-    this.#connections.set(socket, { answers, requestsInProgress: 0, isPaused: false })
+    const connection: Connection = { answers, requestsInProgress: 0, requestsPassedOn: 0, unstarted: [], isPaused: false, mayBeLate: false }
+    this.#connections.set(socket, connection)
+    // Node's HTTP server resumes a socket at the end of each message.
+    socket.on('resume', () => { if (connection.isPaused) socket.pause() })
     socket.on('close', () => {
       this.#connections.delete(socket)
+      connection.unstarted.length = 0
       answers.add(-answers.bytes)
     })
     if (this.#connections.size > this.#maximumConnections) this.close(this.#stillest() ?? socket, CloseReason.connections)
   }
 
-  /** Starts a request and counts it until its response has ended. Doesn't start it if too many were sent ahead and the connection is closed. */
+  /** Starts a request once few enough are in progress on its connection, and counts it until its response has ended. Never starts it if the connection closes before. */
   takeRequest (socket: net.Socket, response: http.ServerResponse, start: () => void): void {
     const connection = this.#connections.get(socket)
     if (connection === undefined || socket.destroyed) return
     this.#connections.delete(socket)
     this.#connections.set(socket, connection)
-    connection.requestsInProgress += 1
+    connection.mayBeLate = connection.isPaused
     response.on('close', () => { this.#recordEnd(socket, connection) })
-    if (connection.requestsInProgress >= CLOSED_REQUESTS_AHEAD) {
-      this.close(socket, CloseReason.requestsAhead)
-      return
+    if (connection.requestsInProgress < MAXIMUM_REQUESTS_AHEAD) {
+      connection.requestsInProgress += 1
+      start()
+    } else {
+      connection.unstarted.push(start)
+      const unanswered = connection.requestsInProgress + connection.unstarted.length
+      if (unanswered >= CLOSED_REQUESTS_AHEAD && connection.requestsPassedOn === 0) {
+        this.close(socket, CloseReason.requestsAhead)
+        return
+      }
     }
-    if (connection.requestsInProgress >= MAXIMUM_REQUESTS_AHEAD) {
+    if (connection.requestsInProgress >= MAXIMUM_REQUESTS_AHEAD && !connection.isPaused) {
       connection.isPaused = true
+      connection.mayBeLate = true
       socket.pause()
     }
-    start()
+  }
+
+  /** Notes that a started request may be run by a target from now on: its connection is no longer closed for what is sent ahead. */
+  recordPassedOn (socket: net.Socket, response: http.ServerResponse): void {
+    const connection = this.#connections.get(socket)
+    if (connection === undefined) return
+    connection.requestsPassedOn += 1
+    response.on('close', () => { connection.requestsPassedOn -= 1 })
+  }
+
+  /**
+   * Closes a connection of which a request could not be read, and answers it as Node does without a listener for such errors. A request that is
+   * late because the connection was paused is waited for, so that requests passed on aren't cut.
+   */
+  endUnreadable (socket: net.Socket, error: NodeJS.ErrnoException): void {
+    if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' && this.#excuseLateRequest(socket)) return
+    const { _httpMessage: response } = socket as net.Socket & { _httpMessage?: http.ServerResponse }
+    if (socket.writable && response?.headersSent !== true) socket.write(`HTTP/1.1 ${UNREADABLE_STATUS[error.code ?? ''] ?? '400 Bad Request'}\r\nConnection: close\r\n\r\n`)
+    socket.destroy(error)
   }
 
   /** Returns a holding for the answer to one request on a connection. */
@@ -80,9 +126,26 @@
 
   #recordEnd (socket: net.Socket, connection: Connection): void {
     connection.requestsInProgress -= 1
-    if (!connection.isPaused || connection.requestsInProgress > RESUMED_REQUESTS_AHEAD || socket.destroyed) return
-    connection.isPaused = false
-    socket.resume()
+    if (socket.destroyed) return
+    const start = connection.unstarted.shift()
+    if (start !== undefined) {
+      connection.requestsInProgress += 1
+      start()
+    } else if (connection.isPaused && connection.requestsInProgress <= RESUMED_REQUESTS_AHEAD) {
+      connection.isPaused = false
+      socket.resume()
+    }
+  }
+
+  #excuseLateRequest (socket: net.Socket): boolean {
+    const connection = this.#connections.get(socket)
+    if (connection?.mayBeLate !== true) return false
+    const timer = setInterval(() => {
+      if (socket.destroyed || !connection.mayBeLate) clearInterval(timer)
+      else if (!connection.isPaused && connection.requestsPassedOn === 0) this.close(socket, CloseReason.overdue)
+    }, OVERDUE_MS)
+    timer.unref()
+    return true
   }
 
   #stillest (): net.Socket | undefined {
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -91,6 +91,7 @@
       options.metrics.countClosedConnection(reason)
       options.decisionLog.write({ event: 'connection-closed', reason, caller })
     })
+    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => { this.#connections.endUnreadable(socket, error) })
     this.#server.on('connection', (socket) => {
       this.#connections.add(socket)
       this.#queue.recordConnection()
@@ -256,6 +257,10 @@
       this.#refuse(message, response, answers.LEAVING_REFUSAL, arrival, table)
       return
     }
+    if (deadlineAt <= now) {
+      this.#refuse(message, response, answers.DEADLINE_REFUSAL, arrival, table)
+      return
+    }
     const announcedBytes = runtime.bodyReader.announcedBytes(message)
     if (!this.#memory.mayTake(announcedBytes)) {
       this.#refuse(message, response, answers.MEMORY_REFUSAL, arrival, table)
@@ -278,6 +283,7 @@
   async #serveWhole (message: http.IncomingMessage, response: http.ServerResponse, arrival: calls.Arrival, admission: AdmittedRequest, deadlineAt: number, body: Buffer): Promise<void> {
     const { request, route, account } = admission
     const heldAnswer = this.#connections.holdAnswer(message.socket)
+    this.#connections.recordPassedOn(message.socket, response)
     const call: calls.Call = {
       message,
       response,
@@ -347,7 +353,7 @@
     if (route.streaming && account?.prepaidTokens !== undefined && request.promptTokens === undefined) {
       return { status: 400, reason: 'a model request needs its token counts' }
     }
-    if (request.remainingMs !== undefined && request.remainingMs <= DEADLINE_MARGIN_MS) return { status: 503, reason: 'the caller\'s deadline has passed' }
+    if (request.remainingMs !== undefined && request.remainingMs <= DEADLINE_MARGIN_MS) return answers.DEADLINE_REFUSAL
     return { request, route, account, limits: table.agreement.limits, version: table.agreement.version }
   }
 
