Keep room for callers and targets where few descriptors may be open

At 200 descriptors or less one caller's connection was allowed. At most half are kept for files now; nothing changes from 400 on. 2,212 descriptors allow 503 connections to targets, above four to each of 98. memory-yielding.test.ts: 22 pass; the row of 200 was red before.

--- a/packages/decisions/src/memory-yielding.ts
+++ b/packages/decisions/src/memory-yielding.ts
@@ -18,7 +18,7 @@
 /** Time after which a body that does not grow is given up while others want its room, in milliseconds. */
 export const MAXIMUM_STILL_MS = 2000
 
-/** Descriptors of a host that are for files. */
+/** Descriptors of a host that are for files, at most half of them. */
 const FILE_DESCRIPTORS = 200
 
 /** Share of the other descriptors that callers' connections may use. The rest is for the store, other gateways and the platform's ports. */
@@ -56,12 +56,12 @@
 
 /** Returns the connections that callers may keep to a process that may open `maximumDescriptors`. */
 export function callerConnectionLimit (maximumDescriptors: number): number {
-  return Math.max(1, Math.floor((maximumDescriptors - FILE_DESCRIPTORS) * CALLER_DESCRIPTOR_SHARE))
+  return Math.max(1, Math.floor(socketDescriptors(maximumDescriptors) * CALLER_DESCRIPTOR_SHARE))
 }
 
 /** Returns the connections to targets that a process may use at the same time. */
 export function targetConnectionLimit (maximumDescriptors: number): number {
-  return Math.max(1, Math.floor((maximumDescriptors - FILE_DESCRIPTORS) * TARGET_DESCRIPTOR_SHARE))
+  return Math.max(1, Math.floor(socketDescriptors(maximumDescriptors) * TARGET_DESCRIPTOR_SHARE))
 }
 
 /** Returns true if a new body of `announcedBytes`, undefined if it comes in chunks, may be read where `heldBytes` are occupied. */
@@ -120,3 +120,7 @@
 export function stillHolders<Holder extends HeldAnswers> (holders: readonly Holder[], now: number): Holder[] {
   return holders.filter((holder) => now - holder.movedAt > MAXIMUM_STILL_MS).sort((one, other) => one.movedAt - other.movedAt)
 }
+
+function socketDescriptors (maximumDescriptors: number): number {
+  return maximumDescriptors - Math.min(FILE_DESCRIPTORS, maximumDescriptors / 2)
+}
--- a/packages/decisions/test/memory-yielding.test.ts
+++ b/packages/decisions/test/memory-yielding.test.ts
@@ -61,4 +61,12 @@
       expect(memoryYielding.bodyCapacity(memoryMb)).to.equal(megabytes * MEGABYTE)
     })
   }
+
+  const descriptors = [{ maximum: 2212, callers: 1408, leastToTargets: 4 * 98 }, { maximum: 400, callers: 140, leastToTargets: 50 }, { maximum: 200, callers: 70, leastToTargets: 25 }]
+  for (const { maximum, callers, leastToTargets } of descriptors) {
+    it(`${maximum} descriptors are enough for ${callers} callers and ${leastToTargets} connections to targets`, () => {
+      expect(memoryYielding.callerConnectionLimit(maximum)).to.equal(callers)
+      expect(memoryYielding.targetConnectionLimit(maximum)).to.be.at.least(leastToTargets)
+    })
+  }
 })
