--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -30,6 +30,8 @@
   requestsPassedOn: number
   /** Starts of the requests that have been read beyond the bound, in order. */
   unstarted: Array<() => void>
+  /** Called when the connection closes. Responses that wait behind others emit no event then. */
+  closeListeners: Set<() => void>
   isPaused: boolean
   /** The next request may be late because the connection was paused. */
   mayBeLate: boolean
@@ -56,13 +58,14 @@
   /** Takes a new connection. Where there are too many, closes the one without a request that has stood still longest, or else the new one. */
   add (socket: net.Socket): void {
     const answers = this.#memory.openAnswers(() => { this.close(socket, CloseReason.unreadAnswers) })
-    const connection: Connection = { answers, requestsInProgress: 0, requestsPassedOn: 0, unstarted: [], isPaused: false, mayBeLate: false }
+    const connection: Connection = { answers, requestsInProgress: 0, requestsPassedOn: 0, unstarted: [], closeListeners: new Set(), isPaused: false, mayBeLate: false }
     this.#connections.set(socket, connection)
     // Node's HTTP server resumes a socket at the end of each message.
     socket.on('resume', () => { if (connection.isPaused) socket.pause() })
     socket.on('close', () => {
       this.#connections.delete(socket)
       connection.unstarted.length = 0
+      for (const listener of connection.closeListeners) listener()
       answers.add(-answers.bytes)
     })
     if (this.#connections.size > this.#maximumConnections) this.close(this.#stillest() ?? socket, CloseReason.connections)
@@ -113,6 +116,14 @@
     socket.destroy(error)
   }
 
+  /** Calls `listener` when a connection closes, at once if it has. Returns a function that ends this. */
+  watchClose (socket: net.Socket, listener: () => void): () => void {
+    const listeners = this.#connections.get(socket)?.closeListeners
+    if (listeners === undefined) listener()
+    else listeners.add(listener)
+    return () => { listeners?.delete(listener) }
+  }
+
   /** Returns a holding for the answer to one request on a connection. */
   holdAnswer (socket: net.Socket): HeldAnswer {
     return new HeldAnswer(socket, this.#connections.get(socket)?.answers)
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -322,7 +322,7 @@
       call.abortController.abort()
     }
     const onClose = (): void => { if (!call.response.writableFinished) abort('caller') }
-    call.response.on('close', onClose)
+    const endWatch = this.#connections.watchClose(call.message.socket, onClose)
     this.#aborts.add(abort)
     const timer = setTimeout(() => { abort('deadline') }, Math.max(0, call.deadlineAt - this.#options.clock.now()))
     try {
@@ -331,7 +331,7 @@
     } finally {
       clearTimeout(timer)
       this.#aborts.delete(abort)
-      call.response.off('close', onClose)
+      endWatch()
       call.span.end()
     }
   }
--- a/packages/gateway/test/caller-connections.test.ts
+++ b/packages/gateway/test/caller-connections.test.ts
@@ -25,6 +25,7 @@
 describe('connections of callers that send requests ahead', () => {
   let started: http.ServerResponse[]
   let closed: string[]
+  let left: Array<string | undefined>
   let isAnswering: boolean
   let server: http.Server
   let socket: net.Socket
@@ -33,12 +34,14 @@
   beforeEach(async () => {
     started = []
     closed = []
+    left = []
     isAnswering = false
     received = ''
     const memory = new runtime.memoryAccount.MemoryAccount({ clock: new virtualClock.VirtualClock(), capacityBytes: 1_000_000, onPushBack: () => {} })
     const connections = new callerConnections.CallerConnections(10, memory, (reason) => { closed.push(reason) })
     server = http.createServer({ headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: HEADERS_TIMEOUT_MS, connectionsCheckingInterval: 20 }, (message, response) => {
       connections.takeRequest(message.socket, response, () => {
+        connections.watchClose(message.socket, () => { left.push(message.url) })
         started.push(response)
         if (isAnswering) response.end(message.url)
         else response.on('answer', () => { response.end(message.url) })
@@ -92,4 +95,17 @@
       expect(answeredPaths()).to.deep.equal(Array.from({ length: REQUESTS }, (_, index) => `/${index}`))
     })
   }
+
+  it('tells all requests in progress that their caller has left, also those whose answers wait behind others', async () => {
+    socket.write(requestAt(0) + requestAt(1) + requestAt(2))
+    await fleets.eventually(() => started.length === 3)
+    socket.destroy()
+    await fleets.eventually(() => left.length === 3)
+  })
+
+  it('closes a connection that sends very many requests at once, of which none was passed on', async () => {
+    socket.write(Array.from({ length: 400 }, (_, index) => requestAt(index)).join(''))
+    await fleets.eventually(() => closed.length > 0)
+    expect(closed).to.deep.equal([callerConnections.CloseReason.requestsAhead])
+  })
 })
