--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -3,8 +3,8 @@
 import type * as net from 'node:net'
 
 /** Requests in progress on a connection at which no more are started or read from it, and at which reading goes on. */
-const MAXIMUM_REQUESTS_AHEAD = 32
-const RESUMED_REQUESTS_AHEAD = 16
+const MAXIMUM_REQUESTS_AHEAD = 8
+const RESUMED_REQUESTS_AHEAD = 4
 
 /** Requests read from a connection and not answered at which it is closed, if none of them has been passed on. What has been read at once is parsed whole. */
 const CLOSED_REQUESTS_AHEAD = 256
--- a/packages/gateway/test/caller-connections.test.ts
+++ b/packages/gateway/test/caller-connections.test.ts
@@ -12,7 +12,7 @@
 const { expect } = chai
 
 const REQUESTS = 240
-const MAXIMUM_STARTED = 32
+const MAXIMUM_STARTED = 8
 
 /** Time in which a request that isn't held up would be started, in milliseconds. */
 const SETTLING_MS = 300
