--- a/packages/decisions/src/target-board.ts
+++ b/packages/decisions/src/target-board.ts
@@ -1,4 +1,6 @@
 import * as types from './agreement-types.js'
+import * as workEstimate from './work-estimate.js'
+import * as zoneEvacuations from './zone-evacuations.js'
 
 /** Outcome of a dispatch to a target, as far as it concerns the target's health. */
 export const TargetResult = { served: 'served', refused: 'refused', failed: 'failed', unreachable: 'unreachable', undecided: 'undecided' } as const
@@ -24,6 +26,8 @@
 /** Prompt parts remembered for each target. */
 const MAXIMUM_TRACKED_PARTS = 2000
 
+const NO_OTHER_WORK = { requests: 0, unreadTokens: 0, requestsDeviation: 0 } as const
+
 /** Work in flight at a target. */
 export interface WorkInFlight {
   requests: number
@@ -36,8 +40,8 @@
   entry: types.TargetEntry
   /** Work sent by this router. */
   ownWork: WorkInFlight
-  /** Work sent by the other routers, as of their last heartbeats. */
-  otherRoutersWork: WorkInFlight
+  /** Work sent by the other routers, as estimated from their last heartbeats. */
+  otherRoutersWork: workEstimate.EstimatedWork
   /** Decaying failure score of recent work, from 0 to 1. */
   failureRatio: number
   /** Monotonic time, in milliseconds, until which requests prefer other targets. */
@@ -60,8 +64,14 @@
  */
 export class TargetBoard {
   readonly #targets = new Map<string, TrackedTarget>()
+  readonly #evacuations: zoneEvacuations.ZoneEvacuations
   /** Runs that are leaving, with their addresses. */
   readonly #leavingRuns = new Set<string>()
+  readonly #serviceTimes = new workEstimate.ServiceTimes()
+
+  constructor (evacuations = new zoneEvacuations.ZoneEvacuations()) {
+    this.#evacuations = evacuations
+  }
 
   /** Replaces all entries. Targets that are not in the list are dropped. */
   replaceEntries (entries: readonly types.TargetEntry[]): void {
@@ -82,7 +92,7 @@
     this.#targets.set(entry.id, {
       entry: { ...entry, leaving: entry.leaving || this.#leavingRuns.has(types.targetRunAtAddress(entry)) },
       ownWork: { requests: 0, unreadTokens: 0 },
-      otherRoutersWork: { requests: 0, unreadTokens: 0 },
+      otherRoutersWork: { ...NO_OTHER_WORK },
       failureRatio: 0,
       backoffUntil: 0,
       lastStartedAt: -Infinity,
@@ -124,11 +134,32 @@
     return this.#targets.get(id)
   }
 
-  /** Returns the targets of a service that are not leaving. */
+  /** Returns the targets of a service that are not leaving, in zones that are not evacuated. */
   assignableTargets (service: string): TargetState[] {
+    return this.#stayingTargets(service).filter((target) => !this.isEvacuated(target.entry))
+  }
+
+  /** Returns true if the target's zone is evacuated, so that it gets nothing new. */
+  isEvacuated (entry: types.TargetEntry): boolean {
+    return this.#evacuations.isEvacuated(entry.availabilityZone)
+  }
+
+  /** Returns the evacuated zones to which a service is confined; empty if it has a target elsewhere, or none at all. */
+  confiningZones (service: string): string[] {
+    if (this.#evacuations.isEmpty) return []
+    const targets = this.#stayingTargets(service)
+    return targets.every((target) => this.isEvacuated(target.entry)) ? [...new Set(targets.map((target) => target.entry.availabilityZone))] : []
+  }
+
+  #stayingTargets (service: string): TargetState[] {
     return [...this.#targets.values()].filter((target) => target.entry.service === service && !target.entry.leaving)
   }
 
+  /** Returns a value of each target by its id, for metrics. */
+  gauge (valueOf: (target: TargetState) => number): Record<string, number> {
+    return Object.fromEntries([...this.#targets].map(([id, target]) => [id, valueOf(target)]))
+  }
+
   entries (): types.TargetEntry[] {
     return [...this.#targets.values()].map((target) => target.entry)
   }
@@ -139,9 +170,36 @@
     return Object.fromEntries(busy.map((target) => [target.entry.id, target.ownWork]))
   }
 
-  /** Sets the summed work of the other routers by target id; targets that are not in the map get none. */
-  setOtherRoutersWork (work: ReadonlyMap<string, WorkInFlight>): void {
-    for (const [id, target] of this.#targets) target.otherRoutersWork = work.get(id) ?? { requests: 0, unreadTokens: 0 }
+  /** Sets the work of the other routers by target id; targets that are not in the map get none. Without a deviation, it is taken as certain. */
+  setOtherRoutersWork (work: ReadonlyMap<string, WorkInFlight & Partial<workEstimate.EstimatedWork>>): void {
+    for (const [id, target] of this.#targets) target.otherRoutersWork = { ...NO_OTHER_WORK, ...work.get(id) }
+  }
+
+  /** Sets the work of the other routers to what their reports let expect now. */
+  estimateOtherRoutersWork (reports: Iterable<workEstimate.WorkReport>): void {
+    const serviceOfTarget = new Map([...this.#targets.values()].map(({ entry }) => [entry.id, entry.service]))
+    this.setOtherRoutersWork(workEstimate.estimateWork(reports, serviceOfTarget, (service) => this.#serviceTimes.lifetimes(service)))
+  }
+
+  /** Records the times until the first event and until the end of a request to a service, by which reports of other routers age. */
+  recordTimes (service: string, readingMs: number, totalMs: number): void {
+    this.#serviceTimes.record(service, readingMs, totalMs)
+  }
+
+  /**
+   * Counts a request for which the target was chosen, until it is sent or given up, so that requests that start together spread. Returns a
+   * function that ends this; further calls of it have no effect.
+   */
+  recordChoice (id: string, unreadTokens: number, now: number): () => void {
+    const target = this.#targets.get(id)
+    if (target === undefined) return () => {}
+    target.lastStartedAt = now
+    target.ownWork = { requests: target.ownWork.requests + 1, unreadTokens: target.ownWork.unreadTokens + unreadTokens }
+    let isCounted = true
+    return () => {
+      if (isCounted) target.ownWork = { requests: Math.max(0, target.ownWork.requests - 1), unreadTokens: Math.max(0, target.ownWork.unreadTokens - unreadTokens) }
+      isCounted = false
+    }
   }
 
   /** Counts a request that starts at a target, and remembers the prompt parts that it brings into the target's cache. */
--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -2,14 +2,15 @@
 import type * as platform from '@acaciaweir/platform'
 import type * as routers from '@acaciaweir/routers'
 import * as configurations from './configuration-watch.js'
+import type * as evacuationWatches from './evacuation-watch.js'
 import type * as fleetViews from './fleet-view.js'
 import type * as peerTables from './peer-table.js'
 import type * as targetWatches from './target-watch.js'
 import type * as tokenAllocators from './token-allocator.js'
 import type * as tokenPageClients from './token-page-client.js'
 
-/** Least time between two sums of the other gateways' requests in flight, in milliseconds. A sum iterates over all gateways. */
-const WORK_SUM_INTERVAL_MS = 50
+/** Least time between two estimates of the other gateways' requests in flight, in milliseconds. An estimate iterates over all gateways. */
+const WORK_ESTIMATE_INTERVAL_MS = 50
 
 /** Time for which a newer agreement may be known but not in force, in milliseconds. */
 const MAXIMUM_OUTDATED_MS = 1000
@@ -25,6 +26,7 @@
   view: fleetViews.FleetView
   configuration: configurations.ConfigurationWatch
   targets: targetWatches.TargetWatch
+  evacuations: evacuationWatches.EvacuationWatch
   tokens: tokenAllocators.TokenAllocator
   tokenPages: tokenPageClients.TokenPageClient
   store: platform.objectStore.ObjectStore
@@ -40,9 +42,9 @@
 export class FleetExchange {
   readonly #options: FleetExchangeOptions
   #agreementConfirmedAt = -Infinity
-  /** Time as of which other gateways confirmed that the agreement and the targets known here are the newest. */
+  /** Time as of which other gateways confirmed that the agreement, the targets and the evacuations known here are the newest. */
   #knowledgeConfirmedAt = -Infinity
-  #workSummedAt = -Infinity
+  #workEstimatedAt = -Infinity
   /** Versions of the agreement that other gateways have reported before they were in force here, in ascending order. */
   #newerVersions: Array<{ version: number, reportedAt: number }> = []
 
@@ -60,10 +62,10 @@
     return Math.min(this.#options.configuration.silenceMs(), this.#options.clock.now() - this.#agreementConfirmedAt)
   }
 
-  /** Time since the agreement and the targets known here were current, in milliseconds, by the store or by another gateway. */
+  /** Time since the agreement, the targets and the evacuations known here were current, in milliseconds, by the store or by another gateway. */
   knowledgeAgeMs (): number {
-    const { clock, configuration, targets } = this.#options
-    return Math.min(Math.max(configuration.silenceMs(), targets.silenceMs()), clock.now() - this.#knowledgeConfirmedAt)
+    const { clock, configuration, evacuations, targets } = this.#options
+    return Math.min(Math.max(configuration.silenceMs(), targets.silenceMs(), evacuations.silenceMs()), clock.now() - this.#knowledgeConfirmedAt)
   }
 
   /** Returns true if this gateway has to watch the store itself. */
@@ -84,8 +86,9 @@
 
   /** Builds a heartbeat. It carries the token counts only in a small fleet, where every gateway exchanges tokens with all others. */
   buildHeartbeat (): Omit<routers.gatewayMessages.GatewayHeartbeat, 'sequence' | 'asksForAnswer'> {
-    const { board, clock, configuration, peers, promptParts, store, targetLimits, targets, tokenPages, tokens, view } = this.#options
+    const { board, clock, configuration, evacuations, peers, promptParts, store, targetLimits, targets, tokenPages, tokens, view } = this.#options
     const ownDraws = tokenPages.ownDraws()
+    this.#estimateWork(clock.now())
     const sharesTokenCounts = view.gatewayCount() <= decisions.fleetSize.MAXIMUM_SMALL_FLEET_SIZE
     return {
       sender: this.#options.member(),
@@ -102,7 +105,10 @@
       spending: sharesTokenCounts ? tokens.spending() : {},
       promptParts: promptParts.reports(clock.now()),
       targetLimits: targetLimits.reports(clock.now()),
-      leavingTargets: board.entries().filter((entry) => entry.leaving).map((entry) => entry.id)
+      leavingTargets: board.entries().filter((entry) => entry.leaving).map((entry) => entry.id),
+      evacuatedZones: evacuations.report((zone) => board.entries().some((entry) => entry.availabilityZone === zone)),
+      evacuationsRevision: evacuations.version.revision,
+      evacuationsEpoch: evacuations.version.epoch
     }
   }
 
@@ -111,17 +117,15 @@
    * none yet or doesn't watch the store itself.
    */
   applyHeartbeat (heartbeat: routers.gatewayMessages.GatewayHeartbeat): void {
-    const { board, clock, configuration, peers, promptParts, store, targetLimits, targets, tokenPages } = this.#options
+    const { board, clock, configuration, evacuations, promptParts, store, targetLimits, targets, tokenPages } = this.#options
     const now = clock.now()
     if (heartbeat.drawnChange > 0) tokenPages.learnDraws(heartbeat.sender.incarnation, { change: heartbeat.drawnChange, tokens: heartbeat.drawnTokens })
     store.learnEpoch(heartbeat.storeEpoch)
     promptParts.merge(heartbeat.promptParts, now)
     targetLimits.merge(heartbeat.targetLimits, now)
     for (const id of heartbeat.leavingTargets) board.markLeaving(id)
-    if (now - this.#workSummedAt >= WORK_SUM_INTERVAL_MS) {
-      this.#workSummedAt = now
-      board.setOtherRoutersWork(peers.othersWork(now))
-    }
+    evacuations.applyFromPeer(heartbeat.evacuatedZones, { epoch: heartbeat.evacuationsEpoch, revision: heartbeat.evacuationsRevision })
+    this.#estimateWork(now)
     if (heartbeat.agreementVersion === configuration.version) this.confirmAgreement(now - heartbeat.sender.storeSilenceMs)
     this.#confirmKnowledge(heartbeat, now)
     this.#recordReportedVersion(heartbeat.agreementVersion, now)
@@ -129,8 +133,18 @@
     if (heartbeat.agreementVersion > configuration.version || needsTargets) this.#options.fetchState(heartbeat.sender.peerAddress)
   }
 
+  /** Estimates the other gateways' requests in flight anew, as their heartbeats age. */
+  #estimateWork (now: number): void {
+    const { board, peers } = this.#options
+    if (now - this.#workEstimatedAt < WORK_ESTIMATE_INTERVAL_MS) return
+    this.#workEstimatedAt = now
+    board.estimateOtherRoutersWork(peers.workReports(now))
+  }
+
   #confirmKnowledge (heartbeat: routers.gatewayMessages.GatewayHeartbeat, now: number): void {
     const { sender, agreementVersion } = heartbeat
+    // A gateway of an earlier version says nothing of evacuations.
+    if (this.#options.evacuations.isEnabled && heartbeat.evacuationsEpoch === 0) return
     const isKnownHere = agreementVersion <= this.#options.configuration.version && !decisions.storeVersion.isNewer(targetsVersion(heartbeat), this.#options.targets.version)
     if (sender.knowledgeAgeMs > 0 && isKnownHere) this.#knowledgeConfirmedAt = Math.max(this.#knowledgeConfirmedAt, now - sender.knowledgeAgeMs)
   }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -12,7 +12,10 @@
   waitingBodies: () => number
   callerConnections: () => number
   limitedTargets: () => number
+  evacuatedZones: () => number
   freeTokens: () => Record<string, number>
+  targetRequests: () => Record<string, number>
+  targetRoom: () => Record<string, number>
   storeCalls: () => platform.objectStore.StoreCallCounts
   droppedLogLines: () => number
 }
@@ -29,6 +32,7 @@
   readonly #connectionDrops: metrics.Counter
   readonly #permits: metrics.Counter
   readonly #closedConnections: metrics.Counter
+  readonly #choices: metrics.Counter
 
   constructor (source: GaugeSource) {
     const registers = [this.#server.registry]
@@ -43,7 +47,11 @@
     this.#server.addLabelledGauge('acaciaweir_held_bytes', 'Memory that is held for callers', 'part', source.heldBytes)
     this.#server.addGauge('acaciaweir_waiting_bodies', 'Request bodies that are not read on for want of memory', source.waitingBodies)
     this.#server.addGauge('acaciaweir_caller_connections', 'Open connections of callers', source.callerConnections)
+    this.#choices = new metrics.Counter({ name: 'acaciaweir_target_choices_total', help: 'Choices of a target by reason', labelNames: ['reason'], registers })
+    this.#server.addLabelledGauge('acaciaweir_target_requests', 'Requests in flight at a target from all gateways, as estimated', 'target', source.targetRequests)
+    this.#server.addLabelledGauge('acaciaweir_target_room', 'Free slots of a target, as estimated; negative if requests queue there', 'target', source.targetRoom)
     this.#server.addGauge('acaciaweir_limited_targets', 'Targets that name a limit', source.limitedTargets)
+    this.#server.addGauge('acaciaweir_evacuated_zones', 'Zones that an operator has evacuated', source.evacuatedZones)
     this.#server.addGauge('acaciaweir_requests_in_progress', 'Requests in progress', source.requestsInProgress)
     this.#server.addGauge('acaciaweir_agreement_version', 'Version of the agreement in force', source.agreementVersion)
     this.#server.addGauge('acaciaweir_live_peers', 'Other gateways heard lately', source.livePeers)
@@ -62,6 +70,10 @@
     this.#firstEventSeconds.observe(seconds)
   }
 
+  countChoice (reason: string): void {
+    this.#choices.inc({ reason })
+  }
+
   observeReadDelay (seconds: number): void {
     this.#readDelaySeconds.observe(seconds)
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import * as configurations from './configuration-watch.js'
 import * as logs from './decision-log.js'
 import * as entries from './entry-server.js'
+import * as evacuationWatches from './evacuation-watch.js'
 import * as fleetExchanges from './fleet-exchange.js'
 import * as fleetViews from './fleet-view.js'
 import * as metrics from './gateway-metrics.js'
@@ -76,7 +77,8 @@
   readonly #incarnation: string
   readonly #random: decisions.random.RandomSource
   readonly #store: platform.objectStore.ObjectStore
-  readonly #targetBoard = new decisions.targetBoard.TargetBoard()
+  readonly #evacuations = new decisions.zoneEvacuations.ZoneEvacuations()
+  readonly #targetBoard = new decisions.targetBoard.TargetBoard(this.#evacuations)
   readonly #promptParts: decisions.promptPartBoard.PromptPartBoard
   readonly #targetLimits: decisions.targetLimits.TargetLimits
   readonly #targetPermits: targetPermits.TargetPermits
@@ -87,6 +89,7 @@
   readonly #fleetView: fleetViews.FleetView
   readonly #configurationWatch: configurations.ConfigurationWatch
   readonly #targetWatch: targetWatches.TargetWatch
+  readonly #evacuationWatch: evacuationWatches.EvacuationWatch
   readonly #tokenPages: tokenPageClients.TokenPageClient
   readonly #tokenTask: tokenAllocators.TokenAllocator
   readonly #fleetExchange: fleetExchanges.FleetExchange
@@ -127,6 +130,12 @@
     const watchOptions = { store: this.#store, clock: this.#clock, logger: this.#logger, pauseMs }
     this.#configurationWatch = new configurations.ConfigurationWatch(watchOptions, (table) => { this.#applyAgreement(table) })
     this.#targetWatch = new targetWatches.TargetWatch(watchOptions, this.#targetBoard)
+    this.#evacuationWatch = new evacuationWatches.EvacuationWatch({
+      ...watchOptions,
+      evacuations: this.#evacuations,
+      evacuateMs: options.settings.evacuateMs,
+      announce: () => { void this.#peerTask.announceSoon() }
+    })
     this.#tokenPages = new tokenPageClients.TokenPageClient({
       ...watchOptions,
       incarnation: this.#incarnation,
@@ -158,6 +167,7 @@
   async start (): Promise<void> {
     const callerListen = runtime.httpServer.parseListenAddress(this.#settings.callerListen)
     const peerListen = runtime.httpServer.parseListenAddress(this.#settings.peerListen)
+    this.#evacuationWatch.start()
     this.#configurationWatch.start()
     this.#targetWatch.start()
     await this.#callerServer.listen(callerListen.port, callerListen.address)
@@ -225,6 +235,7 @@
     this.#stopController.abort()
     this.#configurationWatch.stop()
     this.#targetWatch.stop()
+    this.#evacuationWatch.stop()
     this.#storeRecovery.stop()
     this.#tokenTask.stop()
     this.#peerTask.stop()
@@ -314,6 +325,7 @@
       view: this.#fleetView,
       configuration: this.#configurationWatch,
       targets: this.#targetWatch,
+      evacuations: this.#evacuationWatch,
       tokens: this.#tokenTask,
       tokenPages: this.#tokenPages,
       store: this.#store,
@@ -353,13 +365,15 @@
       clock: this.#clock,
       logger: this.#logger,
       board: this.#targetBoard,
+      random: this.#random,
       targetLimits: this.#targetLimits,
       targetRests: new decisions.targetRests.TargetRests(),
       permits: this.#targetPermits,
       slots: new connectionSlots.ConnectionSlots(connectionLimit, decisions.memoryYielding.targetConnectionLimit(this.#settings.maximumDescriptors), () => { this.#callerServer.closeStillestAnswers() }),
       leavingAdmission: this.#leavingAdmission,
       availabilityZone: this.#settings.availabilityZone,
-      announce
+      announce,
+      onChosen: (reason) => { this.#metrics.countChoice(reason) }
     })
     const flow = new flows.RequestFlow({
       clock: this.#clock,
@@ -403,7 +417,10 @@
       waitingBodies: () => this.#callerServer.waitingBodies,
       callerConnections: () => this.#callerServer.connections,
       limitedTargets: () => this.#targetLimits.size,
+      evacuatedZones: () => this.#evacuations.zones.length,
       freeTokens: () => this.#tokenTask.freeTokens(),
+      targetRequests: () => this.#targetBoard.gauge(decisions.placement.requestsInFlight),
+      targetRoom: () => this.#targetBoard.gauge((target) => target.entry.slots - decisions.placement.requestsInFlight(target)),
       storeCalls: () => this.#store.callCounts,
       droppedLogLines: this.#options.log.droppedLines
     }
--- a/packages/gateway/src/target-chooser.ts
+++ b/packages/gateway/src/target-chooser.ts
@@ -15,11 +15,15 @@
 /** Interval at which a request that waits for a connection looks for a target anew, in milliseconds. Targets come, and others leave or rest. */
 const ROOM_CHECK_INTERVAL_MS = 100
 
+/** Interval at which a request that waits for a permit or for targets that rest checks whether all targets are in evacuated zones, in milliseconds. */
+const EVACUATION_CHECK_INTERVAL_MS = 100
+
 /** Dependencies of the choice of targets. */
 export interface TargetChooserOptions {
   clock: decisions.clock.Clock
   logger: runtime.logging.Logger
   board: decisions.targetBoard.TargetBoard
+  random: decisions.random.RandomSource
   targetLimits: decisions.targetLimits.TargetLimits
   targetRests: decisions.targetRests.TargetRests
   permits: targetPermits.TargetPermits
@@ -28,11 +32,14 @@
   availabilityZone: string
   /** Sends a heartbeat with what a target said to the other gateways. */
   announce: () => void
+  onChosen: (reason: decisions.placement.PlacementReason) => void
 }
 
 /** A target that was chosen for a request, with a connection to it. Call `release` once, when the request has ended or is not sent. */
 export interface ChosenTarget {
   placement: decisions.placement.Placement
+  /** Ends the count of the choice on the target board. Call it where the request itself is counted, as it is sent. */
+  stopCounting: () => void
   release: () => void
 }
 
@@ -67,12 +74,12 @@
 
   /** Chooses a healthy target that takes the call now. Returns undefined if that takes waiting for more than a permit. */
   async placeAtOnce (call: calls.Call, triedTargets: ReadonlySet<string>): Promise<ChosenTarget | undefined> {
-    const { clock, permits, slots } = this.#options
+    const { clock, permits } = this.#options
     const placement = this.#choose(call, triedTargets)
     if (placement === undefined || placement.target.backoffUntil > clock.now()) return undefined
-    const release = slots.take(placement.target.entry)
-    if (await permits.acquire(placement.target.entry) && this.#isStillWanted(placement.target.entry)) return { placement, release }
-    release()
+    const chosen = this.#take(call, placement)
+    if (await permits.acquire(placement.target.entry) && this.#isStillWanted(placement.target.entry)) return { ...chosen, placement: this.#withoutBarredCopy(placement) }
+    chosen.release()
     return undefined
   }
 
@@ -85,18 +92,18 @@
 
   /** Chooses a target as `place` does, but returns undefined where a target could take the call if it had a free connection. */
   async #placeUnlessFull (call: calls.Call, triedTargets: ReadonlySet<string>): Promise<ChosenTarget | undefined> {
-    const { clock, permits, slots } = this.#options
+    const { clock, permits } = this.#options
     const waitUntil = clock.now() + permits.maximumWaitMs(call.rank)
     while (call.abortReason === undefined) {
       const placement = this.#choose(call, triedTargets)
       if (placement !== undefined) {
         call.permitWaitMs = undefined
         call.areTargetsResting = false
-        const release = slots.take(placement.target.entry)
+        const chosen = this.#take(call, placement)
         const isPermitted = await permits.acquire(placement.target.entry)
-        // The caller may have left while the request waited for its permit, and the target may have left or asked for rest.
-        if (isPermitted && call.abortReason === undefined && this.#isStillWanted(placement.target.entry)) return { placement, release }
-        release()
+        // The caller may have left while the request waited for its permit, the target may have left or asked for rest, and its zone may be evacuated.
+        if (isPermitted && call.abortReason === undefined && this.#isStillWanted(placement.target.entry)) return { ...chosen, placement: this.#withoutBarredCopy(placement) }
+        chosen.release()
         continue
       }
       if (this.#fullTargets(call, triedTargets).length > 0) return undefined
@@ -131,10 +138,30 @@
       sharedParts: call.request.promptParts.slice(0, -1),
       promptTokens: call.request.promptTokens ?? 0,
       availabilityZone: this.#options.availabilityZone
-    }, triedTargets, now, ({ entry }) => this.#isAllowed(call, entry) && slots.hasRoom(entry))
+    }, triedTargets, now, ({ entry }) => this.#isAllowed(call, entry) && slots.hasRoom(entry), this.#options.random)
     const isLastResort = placement !== undefined && placement.target.backoffUntil > now
     if (isLastResort && this.#fullTargets(call, triedTargets).some((target) => target.backoffUntil <= now)) return undefined
-    return placement?.copyFrom !== undefined && this.#isResting(placement.copyFrom.entry) ? { target: placement.target } : placement
+    return placement === undefined ? undefined : this.#withoutBarredCopy(placement)
+  }
+
+  /** Takes a connection to the target, and counts the call there before it is sent. */
+  #take (call: calls.Call, placement: decisions.placement.Placement): ChosenTarget {
+    const { board, clock, onChosen, slots } = this.#options
+    onChosen(placement.reason)
+    const stopCounting = board.recordChoice(placement.target.entry.id, decisions.placement.promptReadingCost(call.request.promptTokens ?? 0), clock.now())
+    const releaseConnection = slots.take(placement.target.entry)
+    const release = (): void => {
+      stopCounting()
+      releaseConnection()
+    }
+    return { placement, stopCounting, release }
+  }
+
+  /** Returns the placement without a copy from a target that wants no requests or is in an evacuated zone. */
+  #withoutBarredCopy (placement: decisions.placement.Placement): decisions.placement.Placement {
+    const { copyFrom } = placement
+    if (copyFrom === undefined) return placement
+    return this.#isResting(copyFrom.entry) || this.#options.board.isEvacuated(copyFrom.entry) ? { ...placement, copyFrom: undefined } : placement
   }
 
   #isAllowed (call: calls.Call, entry: Entry): boolean {
@@ -147,10 +174,10 @@
     return board.assignableTargets(call.service).filter(({ entry }) => !triedTargets.has(entry.id) && !slots.hasRoom(entry) && this.#isAllowed(call, entry))
   }
 
-  /** Returns whether a target that was chosen before a wait is still registered, stays, and wants requests. */
+  /** Returns whether a target that was chosen before a wait is still registered, stays, is in no evacuated zone, and wants requests. */
   #isStillWanted (entry: Entry): boolean {
     const known = this.#options.board.get(entry.id)?.entry
-    return known !== undefined && !known.leaving && targetLifetime(known) === targetLifetime(entry) && !this.#isResting(entry)
+    return known !== undefined && !known.leaving && targetLifetime(known) === targetLifetime(entry) && !this.#options.board.isEvacuated(known) && !this.#isResting(entry)
   }
 
   /** Returns the time until a target may take the call, in milliseconds; undefined where neither limits nor rests are the reason that none does. */
@@ -165,8 +192,12 @@
   }
 
   async #wait (call: calls.Call, milliseconds: number): Promise<void> {
-    const stopWaiting = this.#options.permits.startWaiting(call.service, call.rank)
-    await this.#options.clock.sleep(Math.max(MINIMUM_WAIT_MS, milliseconds), call.abortController.signal)
+    const { board, clock, permits } = this.#options
+    const stopWaiting = permits.startWaiting(call.service, call.rank)
+    const end = clock.now() + Math.max(MINIMUM_WAIT_MS, milliseconds)
+    while (!call.abortController.signal.aborted && clock.now() < end && board.confiningZones(call.service).length === 0) {
+      await clock.sleep(Math.min(EVACUATION_CHECK_INTERVAL_MS, end - clock.now()), call.abortController.signal)
+    }
     stopWaiting()
   }
 
