--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -4,6 +4,7 @@
 import * as http from 'node:http'
 import * as net from 'node:net'
 import * as answers from './answers.js'
+import * as callerConnections from './caller-connections.js'
 import type * as calls from './call.js'
 import * as logs from './decision-log.js'
 import type * as metrics from './gateway-metrics.js'
@@ -41,6 +42,10 @@
   metrics: metrics.GatewayMetrics
   flow: flows.RequestFlow
   leavingAdmission: decisions.leavingAdmission.LeavingAdmission
+  /** Memory of the host, in megabytes. */
+  memoryMb: number
+  /** Descriptors that the process may open. */
+  maximumDescriptors: number
   routeTable: () => decisions.routeTable.RouteTable | undefined
   /** Time since the agreement was last confirmed, in milliseconds. */
   agreementAgeMs: () => number
@@ -59,18 +64,36 @@
   /** Aborts of the calls in progress. */
   readonly #aborts = new Set<(reason: calls.AbortReason) => void>()
   readonly #queue: runtime.admissionQueue.AdmissionQueue
+  readonly #connections: callerConnections.CallerConnections
+  readonly #memory: runtime.memoryAccount.MemoryAccount
   #inProgress = 0
   #isLeaving = false
 
   constructor (options: CallerServerOptions) {
     this.#options = options
     const serverOptions = { maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS }
-    this.#server = http.createServer(serverOptions, (message, response) => { this.#enqueue(message, response) })
+    this.#server = http.createServer(serverOptions, (message, response) => {
+      const arrival = this.#recordArrival(message)
+      this.#connections.takeRequest(message.socket, response, () => { this.#enqueue(message, response, arrival) })
+    })
     this.#queue = new runtime.admissionQueue.AdmissionQueue({
       clock: options.clock,
       dropWaitingConnections: () => { this.#dropWaitingConnections() }
     })
+    this.#memory = new runtime.memoryAccount.MemoryAccount({
+      clock: options.clock,
+      capacityBytes: decisions.memoryYielding.bodyCapacity(options.memoryMb),
+      onPushBack: (isPushingBack, largestBytes) => {
+        options.logger.warn({ event: isPushingBack ? 'memory-pushes-back' : 'memory-regained', heldBytes: this.#memory.heldBytes, largestBytes, connections: this.#connections.size })
+      }
+    })
+    this.#connections = new callerConnections.CallerConnections(decisions.memoryYielding.callerConnectionLimit(options.maximumDescriptors), this.#memory, (reason, caller) => {
+      options.metrics.countClosedConnection(reason)
+      options.decisionLog.write({ event: 'connection-closed', reason, caller })
+    })
+    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => { this.#connections.endUnreadable(socket, error) })
     this.#server.on('connection', (socket) => {
+      this.#connections.add(socket)
       this.#queue.recordConnection()
       this.#trackConnection(socket)
     })
@@ -81,6 +104,26 @@
     return this.#inProgress
   }
 
+  /** Memory that request bodies and unread answers occupy, in bytes. */
+  get heldBytes (): { bodies: number, answers: number } {
+    const { heldBytes, answerBytes } = this.#memory
+    return { bodies: heldBytes - answerBytes, answers: answerBytes }
+  }
+
+  /** Bodies that are not read on for want of memory. */
+  get waitingBodies (): number {
+    return this.#memory.waitingBodies
+  }
+
+  get connections (): number {
+    return this.#connections.size
+  }
+
+  /** Closes a connection whose caller doesn't read its answer, so that the target's connection becomes free. */
+  closeStillestAnswers (): void {
+    this.#memory.closeStillestAnswers()
+  }
+
   listen (port: number, address: string): Promise<void> {
     return new Promise((resolve, reject) => {
       this.#server.once('error', reject)
@@ -142,9 +185,8 @@
     })
   }
 
-  #enqueue (message: http.IncomingMessage, response: http.ServerResponse): void {
+  #enqueue (message: http.IncomingMessage, response: http.ServerResponse, arrival: calls.Arrival): void {
     this.#inProgress += 1
-    const arrival = this.#recordArrival(message)
     const fail = (error: Error): void => { this.#fail(message, response, error) }
     this.#queue.push({
       hasLeft: () => message.socket.destroyed || message.socket.readableEnded,
@@ -208,21 +250,44 @@
       this.#refuse(message, response, admission, arrival, table)
       return
     }
-    const { request, route, account } = admission
+    const { request, route } = admission
     const deadlineAt = arrival.at + Math.min(request.remainingMs ?? Infinity, route.timeoutMs) - DEADLINE_MARGIN_MS
     const now = this.#options.clock.now()
     if (!this.#options.leavingAdmission.mayStart(route.name, deadlineAt - now, now)) {
       this.#refuse(message, response, answers.LEAVING_REFUSAL, arrival, table)
       return
     }
-    const body = await readBody(message, admission.limits.bodyBytes)
-    if (body === undefined) {
-      this.#refuse(message, response, { status: 413, reason: 'the body is too large' }, arrival, table)
+    if (deadlineAt <= now) {
+      this.#refuse(message, response, answers.DEADLINE_REFUSAL, arrival, table)
       return
     }
+    const announcedBytes = runtime.bodyReader.announcedBytes(message)
+    if (!this.#memory.mayTake(announcedBytes)) {
+      this.#refuse(message, response, answers.MEMORY_REFUSAL, arrival, table)
+      return
+    }
+    const reading = announcedBytes !== undefined && announcedBytes > admission.limits.bodyBytes
+      ? { kind: 'too-large' as const }
+      : await new runtime.bodyReader.BodyReader(message, admission.limits.bodyBytes, this.#memory, this.#options.clock, deadlineAt).read()
+    if (reading.kind !== 'whole') {
+      this.#refuse(message, response, reading.kind === 'too-large' ? answers.BODY_REFUSAL : answers.MEMORY_REFUSAL, arrival, table)
+      return
+    }
+    try {
+      await this.#serveWhole(message, response, arrival, admission, deadlineAt, reading.body)
+    } finally {
+      reading.release()
+    }
+  }
+
+  async #serveWhole (message: http.IncomingMessage, response: http.ServerResponse, arrival: calls.Arrival, admission: AdmittedRequest, deadlineAt: number, body: Buffer): Promise<void> {
+    const { request, route, account } = admission
+    const heldAnswer = this.#connections.holdAnswer(message.socket)
+    this.#connections.recordPassedOn(message.socket, response)
     const call: calls.Call = {
       message,
       response,
+      heldAnswer,
       request,
       route,
       account,
@@ -242,6 +307,12 @@
       span: runtime.telemetry.startSpan('request', runtime.telemetry.contextFromHeaders(message.headers), { request: request.attemptId })
     }
     await this.#serveUntilDeadline(call)
+    if (response.writableFinished) {
+      heldAnswer.setBytes(0)
+    } else {
+      heldAnswer.setBytes(response.writableLength)
+      response.on('finish', () => { heldAnswer.setBytes(0) })
+    }
   }
 
   /** Serves a call and aborts it when its caller disconnects, its deadline passes or the gateway stops. */
@@ -251,7 +322,7 @@
       call.abortController.abort()
     }
     const onClose = (): void => { if (!call.response.writableFinished) abort('caller') }
-    call.response.on('close', onClose)
+    const endWatch = this.#connections.watchClose(call.message.socket, onClose)
     this.#aborts.add(abort)
     const timer = setTimeout(() => { abort('deadline') }, Math.max(0, call.deadlineAt - this.#options.clock.now()))
     try {
@@ -260,7 +331,7 @@
     } finally {
       clearTimeout(timer)
       this.#aborts.delete(abort)
-      call.response.off('close', onClose)
+      endWatch()
       call.span.end()
     }
   }
@@ -282,7 +353,7 @@
     if (route.streaming && account?.prepaidTokens !== undefined && request.promptTokens === undefined) {
       return { status: 400, reason: 'a model request needs its token counts' }
     }
-    if (request.remainingMs !== undefined && request.remainingMs <= DEADLINE_MARGIN_MS) return { status: 503, reason: 'the caller\'s deadline has passed' }
+    if (request.remainingMs !== undefined && request.remainingMs <= DEADLINE_MARGIN_MS) return answers.DEADLINE_REFUSAL
     return { request, route, account, limits: table.agreement.limits, version: table.agreement.version }
   }
 
@@ -293,8 +364,12 @@
   }
 
   #refuse (message: http.IncomingMessage, response: http.ServerResponse, refusal: calls.Refusal, arrival: calls.Arrival, table: decisions.routeTable.RouteTable | undefined): void {
-    answers.sendRefusal(response, refusal)
-    message.resume()
+    if (mayReadOn(message, table)) {
+      answers.sendRefusal(response, refusal)
+      message.resume()
+    } else {
+      answers.sendRefusalAndClose(message, response, refusal)
+    }
     this.#options.metrics.observeRequest('none', `refused-${refusal.status}`, 0)
     this.#options.decisionLog.write({
       event: 'request-refused',
@@ -377,14 +452,8 @@
   return message.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
 }
 
-/** Reads the whole body. Returns undefined if it exceeds the limit; rejects if the caller disconnects. */
-async function readBody (message: http.IncomingMessage, maximumBytes: number): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = []
-  let size = 0
-  for await (const chunk of message) {
-    size += (chunk as Buffer).length
-    if (size > maximumBytes) return undefined
-    chunks.push(chunk as Buffer)
-  }
-  return Buffer.concat(chunks)
+/** Returns true if the rest of a refused request has an end within the limit and is read, so that the connection can be used again. */
+function mayReadOn (message: http.IncomingMessage, table: decisions.routeTable.RouteTable | undefined): boolean {
+  const bytes = runtime.bodyReader.announcedBytes(message)
+  return message.complete || (bytes !== undefined && bytes <= (table?.agreement.limits.bodyBytes ?? decisions.memoryYielding.ORDINARY_BODY_BYTES))
 }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -8,6 +8,9 @@
   agreementVersion: () => number
   livePeers: () => number
   heldPromptParts: () => number
+  heldBytes: () => Record<string, number>
+  waitingBodies: () => number
+  callerConnections: () => number
   limitedTargets: () => number
   coldTargets: () => number
   evacuatedZones: () => number
@@ -29,6 +32,7 @@
   readonly #readDelaySeconds: metrics.Histogram
   readonly #connectionDrops: metrics.Counter
   readonly #permits: metrics.Counter
+  readonly #closedConnections: metrics.Counter
   readonly #choices: metrics.Counter
   readonly #budgetRefusals: metrics.Counter
 
@@ -41,6 +45,10 @@
     this.#readDelaySeconds = new metrics.Histogram({ name: 'acaciaweir_read_delay_seconds', help: 'Longest time for which a request can have waited to be read', buckets, registers })
     this.#connectionDrops = new metrics.Counter({ name: 'acaciaweir_connection_drops_total', help: 'Times that the connections waiting to be accepted were dropped', registers })
     this.#permits = new metrics.Counter({ name: 'acaciaweir_target_permits_total', help: 'Permits asked for, for targets that name a limit or are cold', labelNames: ['outcome'], registers })
+    this.#closedConnections = new metrics.Counter({ name: 'acaciaweir_closed_connections_total', help: 'Connections of callers that were closed to bound what they hold', labelNames: ['reason'], registers })
+    this.#server.addLabelledGauge('acaciaweir_held_bytes', 'Memory that is held for callers', 'part', source.heldBytes)
+    this.#server.addGauge('acaciaweir_waiting_bodies', 'Request bodies that are not read on for want of memory', source.waitingBodies)
+    this.#server.addGauge('acaciaweir_caller_connections', 'Open connections of callers', source.callerConnections)
     this.#choices = new metrics.Counter({ name: 'acaciaweir_target_choices_total', help: 'Choices of a target by reason', labelNames: ['reason'], registers })
     this.#server.addLabelledGauge('acaciaweir_target_requests', 'Requests in flight at a target from all gateways, as estimated', 'target', source.targetRequests)
     this.#server.addLabelledGauge('acaciaweir_target_room', 'Free slots of a target, as estimated; negative if requests queue there', 'target', source.targetRoom)
@@ -78,6 +86,10 @@
     this.#connectionDrops.inc()
   }
 
+  countClosedConnection (reason: string): void {
+    this.#closedConnections.inc({ reason })
+  }
+
   countPermit (outcome: string): void {
     this.#permits.inc({ outcome })
   }
--- a/packages/gateway/test/fleet-view.test.ts
+++ b/packages/gateway/test/fleet-view.test.ts
@@ -1,4 +1,5 @@
 // Guards against several gateways that keep the rate of one target at once: those that leave together, and one that has restarted and hears nobody.
+import * as decisions from '@acaciaweir/decisions'
 import type * as routers from '@acaciaweir/routers'
 import * as chai from 'chai'
 import * as fleetViews from '../src/fleet-view.js'
--- a/packages/stand-ins/src/platform-stand-in.ts
+++ b/packages/stand-ins/src/platform-stand-in.ts
@@ -27,6 +27,8 @@
   maximumConnections?: number
   /** Seconds for which model engines are cold after their start, and requests a second that they take meanwhile. */
   coldStart?: { seconds: number, perSecond: number }
+  /** Largest body of a request, in bytes. */
+  bodyBytes?: number
 }
 
 /** Time for which a target is cold, and the requests a second that it takes meanwhile. */
@@ -113,7 +115,7 @@
         { Name: 'engines', HealthPath: '/health', MaxConnections: overrides.maximumConnections ?? 200, ColdStartS: overrides.coldStart?.seconds ?? 0, ColdPerS: overrides.coldStart?.perSecond ?? 0, Engine: { Slots: 32, KvCapacityTokens: 100_000, Stride: 1 } },
         { Name: 'orders', HealthPath: '/health', MaxConnections: overrides.maximumConnections ?? 200 }
       ],
-      Limits: { MaxHeaderBytes: 16_384, MaxBodyBytes: 65_536, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15_000 },
+      Limits: { MaxHeaderBytes: 16_384, MaxBodyBytes: overrides.bodyBytes ?? 65_536, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15_000 },
       Tenants: this.accounts.map((account) => ({ Name: account.name, ApiKeys: [account.apiKey], Prepaid: account.prepaidTokens }))
     })
   }
