--- a/packages/decisions/src/memory-yielding.ts
+++ b/packages/decisions/src/memory-yielding.ts
@@ -18,6 +18,16 @@
 /** Time after which a body that does not grow is given up while others want its room, in milliseconds. */
 export const MAXIMUM_STILL_MS = 2000
 
+/** Largest part of the room that the answers to one connection may occupy before its caller reads them. */
+const CONNECTION_SHARE = 0.2
+
+/** Memory that an answer occupies before it is passed on: what is held back of it, and a copy. In bytes. */
+const BUFFERED_ANSWER_BYTES = 512 * 1024
+
+/** Requests in progress on a connection, on the smallest host and on any. */
+const MINIMUM_REQUESTS_AHEAD = 8
+const MAXIMUM_REQUESTS_AHEAD = 64
+
 /** Descriptors of a host that are for files, at most half of them. */
 const FILE_DESCRIPTORS = 200
 
@@ -59,6 +69,12 @@
   return Math.max(1, Math.floor(socketDescriptors(maximumDescriptors) * CALLER_DESCRIPTOR_SHARE))
 }
 
+/** Returns the requests of one connection that may be in progress at the same time where bodies and answers may occupy `capacityBytes`. */
+export function requestsAheadLimit (capacityBytes: number): number {
+  const limit = Math.floor(capacityBytes * CONNECTION_SHARE / BUFFERED_ANSWER_BYTES)
+  return Math.min(MAXIMUM_REQUESTS_AHEAD, Math.max(MINIMUM_REQUESTS_AHEAD, limit))
+}
+
 /** Returns the connections to targets that a process may use at the same time. */
 export function targetConnectionLimit (maximumDescriptors: number): number {
   return Math.max(1, Math.floor(socketDescriptors(maximumDescriptors) * TARGET_DESCRIPTOR_SHARE))
--- a/packages/decisions/test/memory-yielding.test.ts
+++ b/packages/decisions/test/memory-yielding.test.ts
@@ -62,6 +62,12 @@
     })
   }
 
+  for (const [memoryMb, requests] of [[110, 8], [160, 12], [210, 22], [350, 50], [602, 64]]) {
+    it(`a host of ${memoryMb} MB works on ${requests} requests of one connection`, () => {
+      expect(memoryYielding.requestsAheadLimit(memoryYielding.bodyCapacity(memoryMb))).to.equal(requests)
+    })
+  }
+
   const descriptors = [{ maximum: 2212, callers: 1408, leastToTargets: 4 * 98 }, { maximum: 400, callers: 140, leastToTargets: 50 }, { maximum: 200, callers: 70, leastToTargets: 25 }]
   for (const { maximum, callers, leastToTargets } of descriptors) {
     it(`${maximum} descriptors are enough for ${callers} callers and ${leastToTargets} connections to targets`, () => {
--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -1,10 +1,10 @@
+import * as decisions from '@acaciaweir/decisions'
 import type * as runtime from '@acaciaweir/runtime'
 import type * as http from 'node:http'
 import type * as net from 'node:net'
 
-/** Requests in progress on a connection at which no more are started or read from it, and at which reading goes on. */
-const MAXIMUM_REQUESTS_AHEAD = 8
-const RESUMED_REQUESTS_AHEAD = 4
+/** Share of the bound of requests in progress on a connection at which reading from it goes on. */
+const RESUMED_SHARE = 0.5
 
 /** Requests read from a connection and not answered at which it is closed, if none of them has been passed on. What has been read at once is parsed whole. */
 const CLOSED_REQUESTS_AHEAD = 256
@@ -40,6 +40,8 @@
 /** The connections of callers: bounds their number and the requests that are sent ahead on each. */
 export class CallerConnections {
   readonly #maximumConnections: number
+  /** Requests in progress on a connection at which no more are started or read from it. */
+  readonly #maximumRequestsAhead: number
   readonly #memory: runtime.memoryAccount.MemoryAccount
   readonly #onClosed: (reason: CloseReason, caller: string | undefined) => void
   /** In the order of their last requests. */
@@ -47,6 +49,7 @@
 
   constructor (maximumConnections: number, memory: runtime.memoryAccount.MemoryAccount, onClosed: (reason: CloseReason, caller: string | undefined) => void) {
     this.#maximumConnections = maximumConnections
+    this.#maximumRequestsAhead = decisions.memoryYielding.requestsAheadLimit(memory.capacityBytes)
     this.#memory = memory
     this.#onClosed = onClosed
   }
@@ -79,7 +82,7 @@
     this.#connections.set(socket, connection)
     connection.mayBeLate = connection.isPaused
     response.on('close', () => { this.#recordEnd(socket, connection) })
-    if (connection.requestsInProgress < MAXIMUM_REQUESTS_AHEAD) {
+    if (connection.requestsInProgress < this.#maximumRequestsAhead) {
       connection.requestsInProgress += 1
       start()
     } else {
@@ -90,7 +93,7 @@
         return
       }
     }
-    if (connection.requestsInProgress >= MAXIMUM_REQUESTS_AHEAD && !connection.isPaused) {
+    if (connection.requestsInProgress >= this.#maximumRequestsAhead && !connection.isPaused) {
       connection.isPaused = true
       connection.mayBeLate = true
       socket.pause()
@@ -142,7 +145,7 @@
     if (start !== undefined) {
       connection.requestsInProgress += 1
       start()
-    } else if (connection.isPaused && connection.requestsInProgress <= RESUMED_REQUESTS_AHEAD) {
+    } else if (connection.isPaused && connection.requestsInProgress <= this.#maximumRequestsAhead * RESUMED_SHARE) {
       connection.isPaused = false
       socket.resume()
     }
--- a/packages/runtime/src/memory-account.ts
+++ b/packages/runtime/src/memory-account.ts
@@ -94,6 +94,11 @@
     this.#options = options
   }
 
+  /** Bytes that bodies and answers may occupy. */
+  get capacityBytes (): number {
+    return this.#options.capacityBytes
+  }
+
   get heldBytes (): number {
     return this.#heldBytes
   }
