End a watch whose wait the store ended a little early

Cause: a store ends a wait by its own timer, up to some milliseconds before this process's deadline. The rest, under a millisecond, was asked for as another watch with a wait of 0 ms, again and again until the deadline. The new test ends each wait 3 ms early: 2 watches and 3 reads before, 1 and 2 now. A rest below 10 ms is no longer asked for.

--- a/packages/platform/src/keyed-store.ts
+++ b/packages/platform/src/keyed-store.ts
@@ -8,6 +8,9 @@
 /** Prefix of the kinds that belong to this system. */
 const KIND_PREFIX = 'acaciaweir-'
 
+/** Rest of a wait that is not asked for in another call, in milliseconds. The store's timer and this process's differ by less. */
+const SHORTEST_WAIT_MS = 10
+
 interface ObjectName {
   kind: string
   name: string
@@ -64,7 +67,7 @@
     for (;;) {
       const remainingMs = deadline - performance.now()
       const current = await this.read(key)
-      if (current?.version !== knownVersion || remainingMs <= 0) return current
+      if (current?.version !== knownVersion || remainingMs < SHORTEST_WAIT_MS) return current
       const outcome = await this.#store.watch(kind, revision, remainingMs)
       if (outcome.status === 'history-gone') {
         revision = await this.#readRevision(kind)
