Take no new connections for moments in which a gateway has no time for them and others have

Change: ConnectionAdmission (pure) decides by the read delay, as a share of the tightest objective, and by the loads that heartbeats tell. The listening socket is shut for 50 to 200 ms, and stays open for as long in between. Not while leaving, not alone, not if the others are loaded. Slow heads are still timed out. The caller server is split: admission by the agreement, log of requests and requests in progress have files of their own.

--- a/packages/decisions/src/route-table.ts
+++ b/packages/decisions/src/route-table.ts
@@ -4,6 +4,8 @@
 /** Indexes one version of the agreement: routes by host and path, accounts by key and name, services by name. */
 export class RouteTable {
   readonly agreement: types.Agreement
+  /** Shortest latency objective of all routes, in milliseconds; undefined without routes. */
+  readonly tightestObjectiveMs: number | undefined
   readonly #routesByHost = new Map<string, types.Route[]>()
   readonly #accountByKey = new Map<string, types.Account>()
   readonly #accountByName = new Map<string, types.Account>()
@@ -11,6 +13,7 @@
 
   constructor (agreement: types.Agreement) {
     this.agreement = agreement
+    this.tightestObjectiveMs = agreement.routes.length === 0 ? undefined : Math.min(...agreement.routes.map(({ objectiveMs }) => objectiveMs))
     for (const route of agreement.routes) this.#routesOf(route.host).push(route)
     for (const routes of this.#routesByHost.values()) {
       routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)
--- /dev/null
+++ b/packages/decisions/test/connection-admission.test.ts
@@ -0,0 +1,79 @@
+// Guards against a host that keeps taking connections for which it has no time while others idle, and against one that shuts callers out for
+// longer than serves them, or though no other host can take them.
+import * as chai from 'chai'
+import * as connectionAdmission from '../src/connection-admission.js'
+
+const { expect } = chai
+
+type OtherHost = connectionAdmission.OtherHost
+
+const idle: OtherHost = { load: 0.1, processorShare: 0.5, availabilityZone: 'near' }
+const busy: OtherHost = { load: 0.95, processorShare: 0.5, availabilityZone: 'near' }
+const idleFar: OtherHost = { load: 0.1, processorShare: 4, availabilityZone: 'far' }
+
+/** Read delays of requests that come every 10 ms from 0 on, in milliseconds, and the pauses that they bring. */
+interface Case {
+  name: string
+  delays: number[]
+  objectiveMs?: number
+  others?: OtherHost[]
+  /** Start and length of each pause, in milliseconds. */
+  pauses: Array<[at: number, milliseconds: number]>
+}
+
+const cases: Case[] = [
+  { name: 'takes connections while requests are read soon', delays: repeated(20, 100), pauses: [] },
+  { name: 'takes none for a moment once requests wait for a share of the objective', delays: repeated(80, 5), pauses: [[0, 50]] },
+  { name: 'weighs a delay by what callers need', delays: repeated(80, 5), objectiveMs: 1200, pauses: [] },
+  { name: 'has a threshold without objectives', delays: repeated(250, 5), objectiveMs: undefined, pauses: [[0, 50]] },
+  { name: 'goes on taking connections after one late request among many in time', delays: [...repeated(5, 20), 100, ...repeated(5, 20)], pauses: [] },
+  { name: 'takes connections between pauses, which become longer up to a bound', delays: repeated(100, 130), pauses: [[0, 50], [100, 75], [250, 112.5], [480, 168.75], [820, 200], [1220, 200]] },
+  { name: 'starts with a short pause after a calm time', delays: [...repeated(100, 12), ...repeated(0, 60), ...repeated(100, 20)], pauses: [[0, 50], [100, 75], [770, 50], [870, 75]] },
+  { name: 'takes connections if it is alone', delays: repeated(400, 50), others: [], pauses: [] },
+  { name: 'takes connections if the others have no time either', delays: repeated(400, 50), others: [busy, busy], pauses: [] },
+  { name: 'takes connections if those of its zone have no time, to which its callers are led', delays: repeated(400, 50), others: [busy, idleFar], pauses: [] },
+  { name: 'takes connections if the large ones have no time', delays: repeated(400, 50), others: [idle, { ...busy, processorShare: 4 }], pauses: [] },
+  { name: 'takes none for a moment if only others far away are there and have time', delays: repeated(80, 5), others: [idleFar], pauses: [[0, 50]] }
+]
+
+describe('admission of connections', () => {
+  for (const { name, delays, others, pauses, ...rest } of cases) {
+    it(name, () => {
+      const admission = create('objectiveMs' in rest ? rest.objectiveMs : 150, () => others ?? [idle, idle, idle])
+      const seen: Array<[number, number]> = []
+      for (const [index, delayMs] of delays.entries()) {
+        const pauseMs = admission.recordReadDelay(delayMs, index * 10)
+        if (pauseMs > 0) seen.push([index * 10, pauseMs])
+      }
+      expect(seen).to.deep.equal(pauses)
+    })
+  }
+
+  it('looks the others up at most ten times a second, and again as their load changes', () => {
+    let lookUps = 0
+    const admission = create(150, () => {
+      lookUps += 1
+      return lookUps > 5 ? [idle] : [busy]
+    })
+    const pausesAt = repeated(400, 200).map((delayMs, index) => admission.recordReadDelay(delayMs, index * 5) > 0 ? index * 5 : -1).filter((at) => at >= 0)
+    expect(pausesAt[0]).to.equal(500)
+    expect(lookUps).to.be.at.most(10)
+  })
+
+  it('reports a saturation once it has ended, once', () => {
+    const admission = create(150, () => [idle])
+    for (let at = 0; at <= 200; at += 10) admission.recordReadDelay(100, at)
+    expect(admission.saturation).to.deep.equal({ readDelayMs: 100, othersLoad: 0.1, pauses: 2, pausedMs: 125, startedAt: 0 })
+    expect(admission.takeEnded(1100)).to.equal(undefined)
+    expect(admission.takeEnded(1200)?.pauses).to.equal(2)
+    expect(admission.takeEnded(1300)).to.equal(undefined)
+  })
+})
+
+function create (objectiveMs: number | undefined, others: () => OtherHost[]): connectionAdmission.ConnectionAdmission {
+  return new connectionAdmission.ConnectionAdmission({ availabilityZone: 'near', objectiveMs: () => objectiveMs, others })
+}
+
+function repeated (value: number, times: number): number[] {
+  return Array.from({ length: times }, () => value)
+}
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -2,13 +2,17 @@
 import * as adapter from '@acaciaweir/platform-adapter'
 import * as runtime from '@acaciaweir/runtime'
 import * as http from 'node:http'
-import * as net from 'node:net'
+import type * as net from 'node:net'
 import * as answers from './answers.js'
 import * as callerConnections from './caller-connections.js'
 import type * as calls from './call.js'
-import * as logs from './decision-log.js'
+import * as connectionGates from './connection-gate.js'
+import type * as logs from './decision-log.js'
 import type * as metrics from './gateway-metrics.js'
+import * as requestAdmissions from './request-admission.js'
 import type * as flows from './request-flow.js'
+import * as requestLogs from './request-log.js'
+import * as progress from './requests-in-progress.js'
 
 /** Hard limit of Node's parser on the header block, in bytes. The agreement's own limit is checked once the headers are parsed. */
 const MAXIMUM_HEADER_BYTES = 65_536
@@ -16,25 +20,13 @@
 /** Interval at which Node checks for headers and bodies that arrive too slowly, in milliseconds. */
 const TIMEOUT_CHECK_INTERVAL_MS = 1000
 
-/** Time before the caller's deadline at which the gateway sends its final answer, in milliseconds. */
-const DEADLINE_MARGIN_MS = 30
-
-/** Greatest age of the agreement at which the gateway refuses an unknown route or key for good, in milliseconds. */
-const MAXIMUM_AUTHORITATIVE_AGE_MS = 3500
-
-/** Retry-after delay while the gateway has no agreement, or one too old to refuse for good, in milliseconds. */
-const NOT_READY_RETRY_AFTER_MS = 500
-
 /** Connections that may wait to be accepted. */
 const LISTEN_BACKLOG = 1024
 
-/** Outcomes of requests whose caller got no whole answer, although a target may have run them. */
-const LOST_ANSWER_OUTCOMES = new Set(['broken-off', 'answer-lost', 'timed-out'])
-
 /** Mean retry-after delay of requests that an overloaded gateway rejects, in milliseconds. */
 const OVERLOAD_RETRY_AFTER_MS = 800
 
-export interface CallerServerOptions {
+export interface CallerServerOptions extends requestAdmissions.RequestAdmissionOptions {
   clock: decisions.clock.Clock
   random: decisions.random.RandomSource
   logger: runtime.logging.Logger
@@ -46,11 +38,7 @@
   memoryMb: number
   /** Descriptors that the process may open. */
   maximumDescriptors: number
-  routeTable: () => decisions.routeTable.RouteTable | undefined
-  /** Time since the agreement was last confirmed, in milliseconds. */
-  agreementAgeMs: () => number
-  /** Returns true if a newer agreement is known to be in force elsewhere and could not be fetched in time. */
-  isAgreementOutdated: () => boolean
+  connectionAdmission: decisions.connectionAdmission.ConnectionAdmission
 }
 
 /** HTTP server for callers: admits requests by the agreement in force and passes them to the request flow. */
@@ -59,23 +47,29 @@
   readonly #server: http.Server
   readonly #readDelayMeter = new runtime.readDelay.ReadDelayMeter()
   readonly #requestsOnConnection = new WeakMap<net.Socket, number>()
-  /** Answers that have been handed to Node but not yet written out, for each open connection. */
-  readonly #unwrittenAnswers = new Map<net.Socket, Set<http.ServerResponse>>()
   /** Aborts of the calls in progress. */
   readonly #aborts = new Set<(reason: calls.AbortReason) => void>()
   readonly #queue: runtime.admissionQueue.AdmissionQueue
   readonly #connections: callerConnections.CallerConnections
   readonly #memory: runtime.memoryAccount.MemoryAccount
-  #inProgress = 0
+  readonly #progress = new progress.RequestsInProgress()
+  readonly #listener: runtime.reopenListener.PausableListener
+  readonly #gate: connectionGates.ConnectionGate
+  readonly #admission: requestAdmissions.RequestAdmission
+  readonly #log: requestLogs.RequestLog
   #isLeaving = false
 
   constructor (options: CallerServerOptions) {
     this.#options = options
+    this.#admission = new requestAdmissions.RequestAdmission(options)
+    this.#log = new requestLogs.RequestLog(options)
     const serverOptions = { maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS }
     this.#server = http.createServer(serverOptions, (message, response) => {
       const arrival = this.#recordArrival(message)
       this.#connections.takeRequest(message.socket, response, () => { this.#enqueue(message, response, arrival) })
     })
+    this.#listener = new runtime.reopenListener.PausableListener(this.#server, LISTEN_BACKLOG)
+    this.#gate = new connectionGates.ConnectionGate({ ...options, admission: options.connectionAdmission, waitingRequests: () => this.#queue.length }, this.#listener)
     this.#queue = new runtime.admissionQueue.AdmissionQueue({
       clock: options.clock,
       dropWaitingConnections: () => { this.#dropWaitingConnections() }
@@ -95,13 +89,13 @@
     this.#server.on('connection', (socket) => {
       this.#connections.add(socket)
       this.#queue.recordConnection()
-      this.#trackConnection(socket)
+      this.#progress.trackConnection(socket)
     })
   }
 
   /** Requests whose answers have not been written out and whose callers are connected, or that are still being served. */
   get inProgress (): number {
-    return this.#inProgress
+    return this.#progress.count
   }
 
   /** Memory that request bodies and unread answers occupy, in bytes. */
@@ -124,17 +118,15 @@
     this.#memory.closeStillestAnswers()
   }
 
-  listen (port: number, address: string): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject)
-      this.#server.listen(port, address, LISTEN_BACKLOG, () => { resolve() })
-    })
+  async listen (port: number, address: string): Promise<void> {
+    await this.#listener.listen(port, address)
   }
 
   #dropWaitingConnections (): void {
+    if (!this.#server.listening) return
     this.#options.metrics.countConnectionDrop()
-    this.#options.logger.warn({ event: 'connections-dropped', waitingRequests: this.#queue.length, inProgress: this.#inProgress })
-    runtime.reopenListener.reopenListener(this.#server, LISTEN_BACKLOG)
+    this.#options.logger.warn({ event: 'connections-dropped', waitingRequests: this.#queue.length, inProgress: this.#progress.count })
+    this.#listener.dropWaiting()
   }
 
   /** Applies the agreement's timeouts for callers' connections. */
@@ -150,6 +142,7 @@
    */
   startLeaving (stopAt: number): void {
     this.#isLeaving = true
+    this.#gate.stayOpen()
     this.#options.leavingAdmission.startLeaving(this.#options.clock.now(), stopAt)
   }
 
@@ -159,69 +152,44 @@
   }
 
   closeIdleConnections (): void {
-    for (const socket of this.#unwrittenAnswers.keys()) {
-      if (runtime.httpServer.isIdle(socket)) socket.destroy()
-    }
+    this.#progress.closeIdleConnections()
   }
 
   /** Stops accepting connections. */
   stopListening (): void {
-    // The close method of http.Server would close connections whose answers have not been written out, too.
-    net.Server.prototype.close.call(this.#server)
+    this.#listener.close()
   }
 
   closeNow (): void {
+    this.#listener.close()
     this.#server.close()
     this.#server.closeAllConnections()
   }
 
-  #trackConnection (socket: net.Socket): void {
-    const unwritten = new Set<http.ServerResponse>()
-    this.#unwrittenAnswers.set(socket, unwritten)
-    socket.on('close', () => {
-      this.#unwrittenAnswers.delete(socket)
-      this.#inProgress -= unwritten.size
-      unwritten.clear()
-    })
-  }
-
   #enqueue (message: http.IncomingMessage, response: http.ServerResponse, arrival: calls.Arrival): void {
-    this.#inProgress += 1
+    this.#progress.begin()
     const fail = (error: Error): void => { this.#fail(message, response, error) }
     this.#queue.push({
       hasLeft: () => message.socket.destroyed || message.socket.readableEnded,
-      start: () => { this.#handle(message, response, arrival).then(() => { this.#endWhenWritten(message, response) }, fail) },
+      start: () => { this.#handle(message, response, arrival).then(() => { this.#progress.endWhenWritten(message, response) }, fail) },
       reject: () => {
         this.#refuse(message, response, { status: 503, reason: 'the gateway is overloaded', retryAfterMs: this.#overloadRetryAfterMs() }, arrival, this.#options.routeTable())
-        this.#endWhenWritten(message, response)
+        this.#progress.endWhenWritten(message, response)
       },
       drop: () => {
-        this.#recordUnstarted(message, arrival)
-        this.#inProgress -= 1
+        this.#log.recordUnstarted(message, arrival)
+        this.#progress.end()
       },
       fail
     })
   }
 
-  /** Counts a request as in progress until its answer has been written out or its connection has closed. */
-  #endWhenWritten (message: http.IncomingMessage, response: http.ServerResponse): void {
-    const unwritten = this.#unwrittenAnswers.get(message.socket)
-    if (unwritten === undefined || response.writableFinished) {
-      this.#inProgress -= 1
-      return
-    }
-    unwritten.add(response)
-    response.on('finish', () => {
-      if (unwritten.delete(response)) this.#inProgress -= 1
-    })
-  }
-
   /** Ends a request after an error in this process. */
   #fail (message: http.IncomingMessage, response: http.ServerResponse, error: Error): void {
     this.#options.logger.error({ event: 'request-error', request: adapter.callerRequest.attemptIdForLog(message), reason: error.stack })
     if (response.headersSent) answers.abortResponse(response)
     else answers.sendRefusal(response, { status: 500, reason: 'internal error' })
-    this.#endWhenWritten(message, response)
+    this.#progress.endWhenWritten(message, response)
   }
 
   /** Spreads the retries of the callers that are rejected at the same time. */
@@ -238,6 +206,7 @@
   #recordArrival (message: http.IncomingMessage): calls.Arrival {
     const readDelayMs = this.#readDelayMeter.measure()
     this.#options.metrics.observeReadDelay(readDelayMs / 1000)
+    this.#gate.recordReadDelay(readDelayMs)
     const requestOnConnection = (this.#requestsOnConnection.get(message.socket) ?? 0) + 1
     this.#requestsOnConnection.set(message.socket, requestOnConnection)
     return { at: this.#options.clock.now(), caller: message.socket.remoteAddress, requestOnConnection, readDelayMs, queuedMs: 0 }
@@ -245,13 +214,13 @@
 
   async #serve (message: http.IncomingMessage, response: http.ServerResponse, arrival: calls.Arrival): Promise<void> {
     const table = this.#options.routeTable()
-    const admission = this.#admit(message, table)
+    const admission = this.#admission.admit(message)
     if ('status' in admission) {
       this.#refuse(message, response, admission, arrival, table)
       return
     }
     const { request, route } = admission
-    const deadlineAt = arrival.at + Math.min(request.remainingMs ?? Infinity, route.timeoutMs) - DEADLINE_MARGIN_MS
+    const deadlineAt = arrival.at + Math.min(request.remainingMs ?? Infinity, route.timeoutMs) - requestAdmissions.DEADLINE_MARGIN_MS
     const now = this.#options.clock.now()
     if (!this.#options.leavingAdmission.mayStart(route.name, deadlineAt - now, now)) {
       this.#refuse(message, response, answers.LEAVING_REFUSAL, arrival, table)
@@ -280,7 +249,7 @@
     }
   }
 
-  async #serveWhole (message: http.IncomingMessage, response: http.ServerResponse, arrival: calls.Arrival, admission: AdmittedRequest, deadlineAt: number, body: Buffer): Promise<void> {
+  async #serveWhole (message: http.IncomingMessage, response: http.ServerResponse, arrival: calls.Arrival, admission: requestAdmissions.AdmittedRequest, deadlineAt: number, body: Buffer): Promise<void> {
     const { request, route, account } = admission
     const heldAnswer = this.#connections.holdAnswer(message.socket)
     this.#connections.recordPassedOn(message.socket, response)
@@ -327,7 +296,9 @@
     const timer = setTimeout(() => { abort('deadline') }, Math.max(0, call.deadlineAt - this.#options.clock.now()))
     try {
       const outcome = await this.#options.flow.serve(call)
-      this.#recordOutcome(call, outcome)
+      const now = this.#options.clock.now()
+      if (outcome === 'answered') this.#options.leavingAdmission.recordDuration(call.route.name, now - call.arrival.at, now)
+      this.#log.recordOutcome(call, outcome)
     } finally {
       clearTimeout(timer)
       this.#aborts.delete(abort)
@@ -336,33 +307,6 @@
     }
   }
 
-  #admit (message: http.IncomingMessage, table: decisions.routeTable.RouteTable | undefined): AdmittedRequest | calls.Refusal {
-    if (table === undefined) return { status: 503, reason: 'no agreement is known yet', retryAfterMs: NOT_READY_RETRY_AFTER_MS }
-    if (this.#options.isAgreementOutdated()) return { status: 503, reason: 'a newer agreement is being fetched', retryAfterMs: NOT_READY_RETRY_AFTER_MS }
-    if (headerSizeBytes(message) > table.agreement.limits.headerBytes) return { status: 431, reason: 'the headers are too large' }
-    let request: adapter.callerRequest.CallerRequest
-    try {
-      request = adapter.callerRequest.decodeCallerRequest(message)
-    } catch (error) {
-      return { status: 400, reason: (error as Error).message }
-    }
-    const route = table.match(request.host, request.pathAndQuery)
-    if (route === undefined) return this.#refusalOfUnknown(404, 'no route matches')
-    const account = request.apiKey === undefined ? undefined : table.accountOfKey(request.apiKey)
-    if (table.agreement.accounts !== undefined && !route.anonymous && account === undefined) return this.#refusalOfUnknown(401, 'the key is unknown')
-    if (route.streaming && account?.prepaidTokens !== undefined && request.promptTokens === undefined) {
-      return { status: 400, reason: 'a model request needs its token counts' }
-    }
-    if (request.remainingMs !== undefined && request.remainingMs <= DEADLINE_MARGIN_MS) return answers.DEADLINE_REFUSAL
-    return { request, route, account, limits: table.agreement.limits, version: table.agreement.version }
-  }
-
-  /** Returns a refusal for good only while the agreement is fresh: a newer one may contain the route or key that an old one lacks. */
-  #refusalOfUnknown (status: number, reason: string): calls.Refusal {
-    if (this.#options.agreementAgeMs() <= MAXIMUM_AUTHORITATIVE_AGE_MS) return { status, reason }
-    return { status: 503, reason: `${reason} as far as known; the store has been out of reach`, retryAfterMs: NOT_READY_RETRY_AFTER_MS }
-  }
-
   #refuse (message: http.IncomingMessage, response: http.ServerResponse, refusal: calls.Refusal, arrival: calls.Arrival, table: decisions.routeTable.RouteTable | undefined): void {
     if (mayReadOn(message, table)) {
       answers.sendRefusal(response, refusal)
@@ -370,88 +314,10 @@
     } else {
       answers.sendRefusalAndClose(message, response, refusal)
     }
-    this.#options.metrics.observeRequest('none', `refused-${refusal.status}`, 0)
-    this.#options.decisionLog.write({
-      event: 'request-refused',
-      request: adapter.callerRequest.attemptIdForLog(message),
-      status: refusal.status,
-      reason: refusal.reason,
-      agreementVersion: table?.agreement.version,
-      agreementAgeMs: Math.round(this.#options.agreementAgeMs()),
-      ...arrivalForLog(arrival),
-      totalMs: Math.round(this.#options.clock.now() - arrival.at)
-    })
-  }
-
-  /** Records a request whose caller left before it was started. */
-  #recordUnstarted (message: http.IncomingMessage, arrival: calls.Arrival): void {
-    this.#options.metrics.observeRequest('none', 'caller-left', 0)
-    this.#options.decisionLog.write({
-      event: 'request-dropped',
-      request: adapter.callerRequest.attemptIdForLog(message),
-      reason: 'the caller left',
-      ...arrivalForLog(arrival),
-      totalMs: Math.round(this.#options.clock.now() - arrival.at)
-    })
-  }
-
-  #recordOutcome (call: calls.Call, outcome: string): void {
-    const now = this.#options.clock.now()
-    const totalMs = now - call.arrival.at
-    if (outcome === 'answered') this.#options.leavingAdmission.recordDuration(call.route.name, totalMs, now)
-    this.#options.metrics.observeRequest(call.route.name, outcome, totalMs / 1000)
-    this.#options.decisionLog.write({
-      event: 'request-ended',
-      request: call.request.attemptId,
-      outcome,
-      status: call.response.headersSent ? call.response.statusCode : undefined,
-      route: call.route.name,
-      service: call.service,
-      account: call.account?.name,
-      agreementVersion: call.agreementVersion,
-      agreementAgeMs: Math.round(this.#options.agreementAgeMs()),
-      promptTokens: call.request.promptTokens,
-      outputTokens: call.request.maximumOutputTokens,
-      promptParts: sharedPartsForLog(call),
-      heldPart: call.heldPart,
-      permitWaitMs: call.permitWaitMs === undefined ? undefined : Math.round(call.permitWaitMs),
-      evacuatedZones: call.evacuatedZones?.length === 0 ? undefined : call.evacuatedZones,
-      budget: call.budget,
-      waitsMs: call.request.remainingMs,
-      ...arrivalForLog(call.arrival),
-      sends: call.sends,
-      noRetryReason: outcome === 'answered' ? undefined : call.noRetryReason,
-      abortReason: call.abortReason,
-      events: call.events,
-      firstEventMs: call.firstEventAt === undefined ? undefined : Math.round(call.firstEventAt - call.arrival.at),
-      totalMs: Math.round(totalMs)
-    }, LOST_ANSWER_OUTCOMES.has(outcome) ? logs.LineKind.lostAnswer : logs.LineKind.ordinary)
+    this.#log.recordRefusal(message, refusal, arrival, table?.agreement.version)
   }
 }
 
-interface AdmittedRequest {
-  request: adapter.callerRequest.CallerRequest
-  route: decisions.agreementTypes.Route
-  account: decisions.agreementTypes.Account | undefined
-  limits: decisions.agreementTypes.CallerLimits
-  version: number
-}
-
-function arrivalForLog ({ caller, requestOnConnection, readDelayMs, queuedMs }: calls.Arrival): Record<string, unknown> {
-  return { caller, requestOnConnection, readDelayMs: Math.round(readDelayMs), queuedMs: Math.round(queuedMs) }
-}
-
-/** Returns the ids of the prompt parts that other requests may share, if a target may have ended under them. Undefined otherwise, to bound the log. */
-function sharedPartsForLog (call: calls.Call): readonly string[] | undefined {
-  const hasLostSend = call.sends.some((send) => send.result === 'lost' || send.result === 'cut')
-  return hasLostSend ? call.sharedParts : undefined
-}
-
-/** Returns the size of the headers on the wire, including separators and line ends. */
-function headerSizeBytes (message: http.IncomingMessage): number {
-  return message.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
-}
-
 /** Returns true if the rest of a refused request has an end within the limit and is read, so that the connection can be used again. */
 function mayReadOn (message: http.IncomingMessage, table: decisions.routeTable.RouteTable | undefined): boolean {
   const bytes = runtime.bodyReader.announcedBytes(message)
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -31,6 +31,8 @@
   readonly #firstEventSeconds: metrics.Histogram
   readonly #readDelaySeconds: metrics.Histogram
   readonly #connectionDrops: metrics.Counter
+  readonly #connectionPauses: metrics.Counter
+  readonly #connectionPauseSeconds: metrics.Counter
   readonly #permits: metrics.Counter
   readonly #closedConnections: metrics.Counter
   readonly #choices: metrics.Counter
@@ -44,6 +46,8 @@
     this.#firstEventSeconds = new metrics.Histogram({ name: 'acaciaweir_first_event_seconds', help: 'Time to the first event of a stream', buckets, registers })
     this.#readDelaySeconds = new metrics.Histogram({ name: 'acaciaweir_read_delay_seconds', help: 'Longest time for which a request can have waited to be read', buckets, registers })
     this.#connectionDrops = new metrics.Counter({ name: 'acaciaweir_connection_drops_total', help: 'Times that the connections waiting to be accepted were dropped', registers })
+    this.#connectionPauses = new metrics.Counter({ name: 'acaciaweir_connection_pauses_total', help: 'Times that no new connections were taken for want of processor time', registers })
+    this.#connectionPauseSeconds = new metrics.Counter({ name: 'acaciaweir_connection_pause_seconds_total', help: 'Time for which no new connections were taken for want of processor time', registers })
     this.#permits = new metrics.Counter({ name: 'acaciaweir_target_permits_total', help: 'Permits asked for, for targets that name a limit or are cold', labelNames: ['outcome'], registers })
     this.#closedConnections = new metrics.Counter({ name: 'acaciaweir_closed_connections_total', help: 'Connections of callers that were closed to bound what they hold', labelNames: ['reason'], registers })
     this.#server.addLabelledGauge('acaciaweir_held_bytes', 'Memory that is held for callers', 'part', source.heldBytes)
@@ -86,6 +90,11 @@
     this.#connectionDrops.inc()
   }
 
+  countConnectionPause (seconds: number): void {
+    this.#connectionPauses.inc()
+    this.#connectionPauseSeconds.inc(seconds)
+  }
+
   countClosedConnection (reason: string): void {
     this.#closedConnections.inc({ reason })
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -420,6 +420,11 @@
       decisionLog: new logs.DecisionLog(this.#logger, this.#clock),
       metrics: this.#metrics,
       leavingAdmission: this.#leavingAdmission,
+      connectionAdmission: new decisions.connectionAdmission.ConnectionAdmission({
+        availabilityZone: this.#settings.availabilityZone,
+        objectiveMs: () => this.#configurationWatch.routeTable?.tightestObjectiveMs,
+        others: () => this.#fleetView.servingGateways()
+      }),
       memoryMb: this.#settings.memoryMb,
       maximumDescriptors: this.#settings.maximumDescriptors,
       flow,
--- a/packages/gateway/test/fleet.ts
+++ b/packages/gateway/test/fleet.ts
@@ -17,6 +17,8 @@
   engineOptions?: Partial<standIns.targetServer.TargetOptions>
   /** Bound for evacuations in the gateways' settings, in milliseconds; none by default. */
   evacuateMs?: number
+  /** Processor time that each gateway may use, as a multiple of one core; 1 by default. */
+  processorShare?: number
 }
 
 const defaultAccounts: standIns.platformStandIn.ClientAccount[] = [{ name: 'depot', apiKey: 'key-depot', prepaidTokens: 1_000_000 }]
@@ -38,7 +40,7 @@
     for (let index = 0; index < (options.engines ?? 1); index++) await fleet.platform.addTarget('engines', `engines-${index}`, options.engineOptions)
     for (let index = 0; index < (options.plainTargets ?? 0); index++) await fleet.platform.addTarget('orders', `orders-${index}`)
     fleet.platform.configure()
-    for (let index = 0; index < options.gateways; index++) fleet.settings.push(Object.assign(await settingsOnFreePorts(index, storeAddress), { evacuateMs: options.evacuateMs }))
+    for (let index = 0; index < options.gateways; index++) fleet.settings.push(Object.assign(await settingsOnFreePorts(index, storeAddress), { evacuateMs: options.evacuateMs, processorShare: options.processorShare ?? 1 }))
     for (const settings of fleet.settings) settings.seedPeers = fleet.settings.slice(0, 3).map((other) => other.peerListen)
     for (const settings of fleet.settings) await fleet.startGateway(settings)
     await Promise.all(fleet.settings.map(async (_settings, index) => { await fleet.waitUntilReady(index) }))
