Refuse only requests that a newer agreement may change, and send agreements compressed

Cause: once another gateway had had a newer agreement for a second, a gateway refused every request until it had fetched it, while the rule names only requests that an older version alone allows, later than the bound of the settings (Bounds.ConfigApplyMs, not decoded before). The fetch took seconds: all gateways ask the first one that tells of a new version, and an agreement of 1,531 routes is several hundred kilobytes of JSON for each of them over its link.

Change: heartbeats tell for ten seconds what a new agreement changes since up to four earlier versions (hashes of at most 64 routes and keys), and for how long it has been in force. A gateway behind refuses what is changed, what it doesn't know, and everything only if it isn't told; from a second before the bound. The agreement is sent as zlib, packed once for each version; a gateway of an earlier version gets JSON.

Red with the earlier behaviour put back: 'serves what the newer one does not change' (503 instead of 200), 'is sent compressed'.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -25,6 +25,9 @@
 /** Retry-after delay while the gateway has no agreement, or one too old to refuse for good, in milliseconds. */
 const NOT_READY_RETRY_AFTER_MS = 500
 
+/** Refusal of a request that a newer agreement, which is not in force here yet, may handle in another way. */
+const OUTDATED_REFUSAL: calls.Refusal = { status: 503, reason: 'a newer agreement is being fetched', retryAfterMs: NOT_READY_RETRY_AFTER_MS }
+
 /** Connections that may wait to be accepted. */
 const LISTEN_BACKLOG = 1024
 
@@ -51,6 +54,7 @@
   agreementAgeMs: () => number
   /** Returns true if a newer agreement is known to be in force elsewhere and could not be fetched in time. */
   isAgreementOutdated: () => boolean
+  isRequestOutdated: (route: decisions.agreementTypes.Route | undefined, key: string | undefined) => boolean
 }
 
 /** HTTP server for callers: admits requests by the agreement in force and passes them to the request flow. */
@@ -338,7 +342,7 @@
 
   #admit (message: http.IncomingMessage, table: decisions.routeTable.RouteTable | undefined): AdmittedRequest | calls.Refusal {
     if (table === undefined) return { status: 503, reason: 'no agreement is known yet', retryAfterMs: NOT_READY_RETRY_AFTER_MS }
-    if (this.#options.isAgreementOutdated()) return { status: 503, reason: 'a newer agreement is being fetched', retryAfterMs: NOT_READY_RETRY_AFTER_MS }
+    if (this.#options.isAgreementOutdated()) return OUTDATED_REFUSAL
     if (headerSizeBytes(message) > table.agreement.limits.headerBytes) return { status: 431, reason: 'the headers are too large' }
     let request: adapter.callerRequest.CallerRequest
     try {
@@ -347,6 +351,7 @@
       return { status: 400, reason: (error as Error).message }
     }
     const route = table.match(request.host, request.pathAndQuery)
+    if (this.#options.isRequestOutdated(route, request.apiKey)) return OUTDATED_REFUSAL
     if (route === undefined) return this.#refusalOfUnknown(404, 'no route matches')
     const account = request.apiKey === undefined ? undefined : table.accountOfKey(request.apiKey)
     if (table.agreement.accounts !== undefined && !route.anonymous && account === undefined) return this.#refusalOfUnknown(401, 'the key is unknown')
--- a/packages/gateway/src/configuration-watch.ts
+++ b/packages/gateway/src/configuration-watch.ts
@@ -10,10 +10,14 @@
 /** Keeps the newest agreement (the operators' configuration) from the store or from another gateway. Its version never decreases. */
 export class ConfigurationWatch extends watches.ObjectWatch {
   readonly #onAgreement: (table: decisions.routeTable.RouteTable) => void
+  readonly #clock: decisions.clock.Clock
+  readonly #history = new decisions.agreementChanges.ChangeHistory()
   #table: decisions.routeTable.RouteTable | undefined
+  #inForceSince = -Infinity
 
   constructor (options: Omit<watches.ObjectWatchOptions, 'kind'>, onAgreement: (table: decisions.routeTable.RouteTable) => void) {
     super({ ...options, kind: adapter.objectKinds.ObjectKind.configuration })
+    this.#clock = options.clock
     this.#onAgreement = onAgreement
   }
 
@@ -27,12 +31,20 @@
     return this.#table?.agreement.version ?? 0
   }
 
+  /** Returns what the agreement in force changes, and for how long it has been in force, in milliseconds. */
+  changes (): decisions.agreementChanges.AgreementChanges & { inForceMs: number } {
+    return { ...this.#history.changes(), inForceMs: Math.round(this.#clock.now() - this.#inForceSince) }
+  }
+
   /** Puts an agreement into force and calls the callback, if it is newer than the one in force. */
   applyIfNewer (agreement: decisions.agreementTypes.Agreement, source: AgreementSource): void {
     if (this.#table !== undefined && agreement.version <= this.#table.agreement.version) return
     this.logger.info({ event: 'agreement-in-force', version: agreement.version, previous: this.version, source, routes: agreement.routes.length, accounts: agreement.accounts?.length })
     if (source === AgreementSource.store) this.#logFindings(agreement)
-    this.#table = new decisions.routeTable.RouteTable(agreement)
+    const table = new decisions.routeTable.RouteTable(agreement)
+    if (this.#table !== undefined) this.#history.record(this.#table, table)
+    this.#table = table
+    this.#inForceSince = this.#clock.now()
     this.#onAgreement(this.#table)
   }
 
--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -1,6 +1,7 @@
 import * as decisions from '@acaciaweir/decisions'
 import type * as platform from '@acaciaweir/platform'
 import type * as routers from '@acaciaweir/routers'
+import * as packers from './agreement-packer.js'
 import * as configurations from './configuration-watch.js'
 import type * as evacuationWatches from './evacuation-watch.js'
 import type * as fleetViews from './fleet-view.js'
@@ -12,11 +13,11 @@
 /** Least time between two estimates of the other gateways' requests in flight, in milliseconds. An estimate iterates over all gateways. */
 const WORK_ESTIMATE_INTERVAL_MS = 50
 
-/** Time for which a newer agreement may be known but not in force, in milliseconds. */
-const MAXIMUM_OUTDATED_MS = 1000
+/** Time for which heartbeats tell what an agreement has changed, in milliseconds. */
+const CHANGES_SENT_MS = 10_000
 
-/** Time after which an agreement that cannot be fetched is given up, in milliseconds. Its version may have been announced by mistake. */
-const MAXIMUM_WAIT_FOR_AGREEMENT_MS = 10_000
+/** For a gateway of an earlier version, which doesn't tell. */
+const UNKNOWN_CHANGES = { inForceMs: 0, sinceVersions: [], hashes: [] }
 
 /** Dependencies of the fleet exchange. */
 export interface FleetExchangeOptions {
@@ -33,6 +34,8 @@
   promptParts: decisions.promptPartBoard.PromptPartBoard
   targetLimits: decisions.targetLimits.TargetLimits
   coldTargets: decisions.coldTargets.ColdTargets
+  /** Time within which an agreement has to be in force, in milliseconds. */
+  agreementApplyMs: number
   /** Returns this gateway's own entry, the sender of its heartbeats. */
   member: () => routers.gatewayMessages.GatewayMember
   /** Fetches a newer agreement and newer targets from a gateway. */
@@ -46,11 +49,12 @@
   /** Time as of which other gateways confirmed that the agreement, the targets and the evacuations known here are the newest. */
   #knowledgeConfirmedAt = -Infinity
   #workEstimatedAt = -Infinity
-  /** Versions of the agreement that other gateways have reported before they were in force here, in ascending order. */
-  #newerVersions: Array<{ version: number, reportedAt: number }> = []
+  readonly #outdated: decisions.outdatedAgreement.OutdatedAgreement
+  readonly #packer = new packers.AgreementPacker()
 
   constructor (options: FleetExchangeOptions) {
     this.#options = options
+    this.#outdated = new decisions.outdatedAgreement.OutdatedAgreement(options.agreementApplyMs)
   }
 
   /** Records that the store or another gateway confirmed the agreement in force as the newest, at the given time in milliseconds. */
@@ -74,15 +78,15 @@
     return this.#options.view.hasWatchDuty(this.knowledgeAgeMs())
   }
 
-  /**
-   * Returns true if another gateway has had a newer agreement for so long that requests must not be handled by the one in force here. An
-   * overloaded gateway that rejects them gets the time to fetch it.
-   */
+  /** Returns true if no request may be handled by the agreement in force, as another gateway has had a newer one for too long. */
   isAgreementOutdated (): boolean {
-    this.#newerVersions = this.#newerVersions.filter(({ version }) => version > this.#options.configuration.version)
-    if (this.#newerVersions.length === 0) return false
-    const outdatedMs = this.#options.clock.now() - this.#newerVersions[0].reportedAt
-    return outdatedMs > MAXIMUM_OUTDATED_MS && outdatedMs < MAXIMUM_WAIT_FOR_AGREEMENT_MS
+    return this.#outdated.isForAll(this.#options.configuration.version, this.#options.clock.now())
+  }
+
+  /** Returns true if a request on this route and with this key must not be handled by the agreement in force. */
+  isRequestOutdated (route: decisions.agreementTypes.Route | undefined, key: string | undefined): boolean {
+    const { clock, configuration } = this.#options
+    return configuration.routeTable !== undefined && this.#outdated.isFor(configuration.routeTable, route, key, clock.now())
   }
 
   /** Builds a heartbeat. It carries the token counts only in a small fleet, where every gateway exchanges tokens with all others. */
@@ -92,7 +96,7 @@
     this.#estimateWork(clock.now())
     const sharesTokenCounts = view.gatewayCount() <= decisions.fleetSize.MAXIMUM_SMALL_FLEET_SIZE
     return {
-      sender: this.#options.member(),
+      sender: { ...this.#options.member(), agreementChanges: this.#changesToSend() },
       heard: peers.selectHeardGateways(clock.now()),
       agreementVersion: configuration.version,
       targetsRevision: targets.version.revision,
@@ -131,7 +135,7 @@
     this.#estimateWork(now)
     if (heartbeat.agreementVersion === configuration.version) this.confirmAgreement(now - heartbeat.sender.storeSilenceMs)
     this.#confirmKnowledge(heartbeat, now)
-    this.#recordReportedVersion(heartbeat.agreementVersion, now)
+    this.#recordReportedVersion(heartbeat, now)
     const needsTargets = decisions.storeVersion.isNewer(targetsVersion(heartbeat), targets.version) && (!targets.isKnown || !this.hasWatchDuty())
     if (heartbeat.agreementVersion > configuration.version || needsTargets) this.#options.fetchState(heartbeat.sender.peerAddress)
   }
@@ -152,24 +156,31 @@
     if (sender.knowledgeAgeMs > 0 && isKnownHere) this.#knowledgeConfirmedAt = Math.max(this.#knowledgeConfirmedAt, now - sender.knowledgeAgeMs)
   }
 
-  #recordReportedVersion (version: number, now: number): void {
-    const newestKnown = this.#newerVersions.at(-1)?.version ?? 0
-    if (version > Math.max(newestKnown, this.#options.configuration.version)) this.#newerVersions.push({ version, reportedAt: now })
+  #changesToSend (): routers.gatewayMessages.AgreementChangesMessage | undefined {
+    const changes = this.#options.configuration.changes()
+    return changes.inForceMs < CHANGES_SENT_MS ? changes : undefined
+  }
+
+  #recordReportedVersion ({ agreementVersion, sender }: routers.gatewayMessages.GatewayHeartbeat, now: number): void {
+    if (agreementVersion <= this.#options.configuration.version) return
+    const { inForceMs, ...changes } = sender.agreementChanges ?? UNKNOWN_CHANGES
+    this.#outdated.recordReport(agreementVersion, inForceMs, changes, now)
   }
 
   /** Returns the versions of the state that this gateway has. */
   knownVersions (): routers.gatewayMessages.StateRequest {
     const { revision, epoch } = this.#options.targets.version
-    return { agreementVersion: this.#options.configuration.version, targetsRevision: revision, targetsEpoch: epoch }
+    return { agreementVersion: this.#options.configuration.version, targetsRevision: revision, targetsEpoch: epoch, readsCompressed: true }
   }
 
-  /** Returns the agreement and the targets as JSON, each empty unless newer than what another gateway has. */
+  /** Returns the agreement and the targets, each empty unless newer than what another gateway has. */
   newerState (known: routers.gatewayMessages.StateRequest): routers.gatewayMessages.GatewayState {
     const agreement = this.#options.configuration.routeTable?.agreement
     const isNewer = agreement !== undefined && agreement.version > known.agreementVersion
     const { version } = this.#options.targets
     return {
-      agreement: isNewer ? JSON.stringify(agreement) : '',
+      agreement: isNewer && !known.readsCompressed ? JSON.stringify(agreement) : '',
+      compressedAgreement: isNewer && known.readsCompressed ? this.#packer.pack(agreement) : new Uint8Array(),
       targets: decisions.storeVersion.isNewer(version, targetsVersion(known)) ? JSON.stringify(this.#entriesToSend()) : '',
       targetsRevision: version.revision,
       targetsEpoch: version.epoch
@@ -182,8 +193,9 @@
     return board.entries().map((entry) => ({ ...entry, coldMs: coldTargets.remainingMs(entry.id, clock.now()) }))
   }
 
-  /** Applies the newer agreement and targets of another gateway. Throws a `SyntaxError` if they are not valid JSON. */
+  /** Applies the newer agreement and targets of another gateway. Throws an `Error` if they are not valid. */
   applyState (state: routers.gatewayMessages.GatewayState): void {
+    if (state.compressedAgreement.length > 0) this.#options.configuration.applyIfNewer(packers.unpackAgreement(state.compressedAgreement), configurations.AgreementSource.peer)
     if (state.agreement !== '') this.#options.configuration.applyIfNewer(JSON.parse(state.agreement), configurations.AgreementSource.peer)
     if (state.targets !== '') this.#options.targets.applyFromPeer(JSON.parse(state.targets), targetsVersion(state))
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -351,6 +351,7 @@
       promptParts: this.#promptParts,
       targetLimits: this.#targetLimits,
       coldTargets: this.#coldTargets,
+      agreementApplyMs: this.#settings.agreementApplyMs,
       member: () => this.#member(),
       fetchState: (peerAddress) => { void this.#peerTask.fetchState(peerAddress) }
     })
@@ -425,7 +426,8 @@
       flow,
       routeTable: () => this.#configurationWatch.routeTable,
       agreementAgeMs: () => this.#fleetExchange.agreementAgeMs(),
-      isAgreementOutdated: () => this.#fleetExchange.isAgreementOutdated()
+      isAgreementOutdated: () => this.#fleetExchange.isAgreementOutdated(),
+      isRequestOutdated: (route, key) => this.#fleetExchange.isRequestOutdated(route, key)
     })
   }
 
--- a/packages/gateway/test/fleet.ts
+++ b/packages/gateway/test/fleet.ts
@@ -128,6 +128,7 @@
     maximumDescriptors: 4000,
     retryBudget: { ratio: 0.2, slack: 50, windowMs: 10_000 },
     graceMs: 8000,
+    agreementApplyMs: 2000,
     directoryLifetimeMs: 5000
   }
 }
--- a/packages/routers/src/gateway-messages.ts
+++ b/packages/routers/src/gateway-messages.ts
@@ -20,6 +20,14 @@
   knowledgeAgeMs: number
   /** Whether the gateway reaches the store: a `ReachState`, or a number that a later release has added. */
   storeReach: number
+  /** What has changed since earlier versions of the agreement; absent once its version has been in force for a while. */
+  agreementChanges?: AgreementChangesMessage | null
+}
+
+/** What the sender's version of the agreement changes for the requests that an earlier one allows. */
+export interface AgreementChangesMessage extends decisions.agreementChanges.AgreementChanges {
+  /** Time for which the sender has had its version in force, in milliseconds. */
+  inForceMs: number
 }
 
 /** A live gateway known to the sender from heartbeats, its own or those of other gateways (gossip). */
@@ -146,6 +154,8 @@
   agreementVersion: number
   targetsRevision: number
   targetsEpoch: number
+  /** The sender reads a compressed agreement. */
+  readsCompressed: boolean
 }
 
 /** The agreement and the list of targets that the replying gateway has, each as JSON; empty if it is not newer than the requested version. */
@@ -154,6 +164,8 @@
   targets: string
   targetsRevision: number
   targetsEpoch: number
+  /** The agreement's JSON, compressed with zlib; sent instead of the plain one to a gateway that reads it. */
+  compressedAgreement: Uint8Array
 }
 
 /** Request and reply types of the RPCs between gateways, by name. */
