--- a/packages/gateway/src/answer-race.ts
+++ b/packages/gateway/src/answer-race.ts
@@ -1,5 +1,5 @@
 import type * as decisions from '@acaciaweir/decisions'
-import type * as flows from './request-flow.js'
+import type * as sendOutcomes from './send-outcome.js'
 
 /** One send of a call to a target, until its answer has ended. */
 export class SendInProgress {
@@ -61,7 +61,7 @@
 
 interface EndedSend {
   send: SendInProgress
-  outcome: flows.SendOutcome
+  outcome: sendOutcomes.SendOutcome
 }
 
 /**
@@ -69,7 +69,7 @@
  * The first that answers the caller ends the others.
  */
 export class AnswerRace {
-  readonly #sends = new Map<SendInProgress, Promise<flows.SendOutcome>>()
+  readonly #sends = new Map<SendInProgress, Promise<sendOutcomes.SendOutcome>>()
 
   get size (): number {
     return this.#sends.size
@@ -85,7 +85,7 @@
     return this.size > 0 && this.silentSends.length === this.size
   }
 
-  add (send: SendInProgress, outcome: Promise<flows.SendOutcome>): void {
+  add (send: SendInProgress, outcome: Promise<sendOutcomes.SendOutcome>): void {
     this.#sends.set(send, outcome)
     // A failure is thrown by `next`.
     outcome.catch(() => {})
@@ -101,7 +101,7 @@
   }
 
   /** Resolves with the outcome of the next send that ends, or with undefined after `maximumMs`. */
-  async next (maximumMs: number): Promise<flows.SendOutcome | undefined> {
+  async next (maximumMs: number): Promise<sendOutcomes.SendOutcome | undefined> {
     let timer: NodeJS.Timeout | undefined
     const contenders: Array<Promise<EndedSend | undefined>> = [...this.#sends].map(async ([send, outcome]) => ({ send, outcome: await outcome }))
     if (maximumMs !== Infinity) contenders.push(new Promise((resolve) => { timer = setTimeout(() => { resolve(undefined) }, maximumMs) }))
--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -5,7 +5,7 @@
 import * as answers from './answers.js'
 import type * as calls from './call.js'
 import * as drain from './drain.js'
-import type * as flows from './request-flow.js'
+import type * as sendOutcomes from './send-outcome.js'
 
 /** Largest part of an answer that the gateway holds in memory, in bytes. */
 const MAXIMUM_BUFFERED_BYTES = 256 * 1024
@@ -37,7 +37,7 @@
   }
 
   /** Relays until the target's answer ends, and ends the caller's response only if the answer is complete. */
-  async run (source: http.IncomingMessage): Promise<flows.SendOutcome> {
+  async run (source: http.IncomingMessage): Promise<sendOutcomes.SendOutcome> {
     try {
       for await (const chunk of source) {
         this.#send.recordProgress()
@@ -75,7 +75,7 @@
     heldAnswer.setBytes(0)
   }
 
-  #complete (): flows.SendOutcome {
+  #complete (): sendOutcomes.SendOutcome {
     const { status, forwardedHeaders } = this.#answer
     if (this.#isForwarding) {
       this.#call.response.end()
@@ -104,11 +104,11 @@
     return body
   }
 
-  #interruptedOutcome (reason: string, isConnectionLost = false): flows.SendOutcome {
+  #interruptedOutcome (reason: string, isConnectionLost = false): sendOutcomes.SendOutcome {
     return this.#isForwarding ? { kind: 'cut', reason, isConnectionLost } : this.#notForwardedOutcome(reason, isConnectionLost)
   }
 
-  #notForwardedOutcome (reason: string, isConnectionLost = false): flows.SendOutcome {
+  #notForwardedOutcome (reason: string, isConnectionLost = false): sendOutcomes.SendOutcome {
     return this.#answer.wasNotExecuted ? { kind: 'not-run', reason: `status ${this.#answer.status}` } : { kind: 'lost', reason, isConnectionLost }
   }
 }
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -5,7 +5,7 @@
 import type * as answerRaces from './answer-race.js'
 import type * as calls from './call.js'
 import * as drain from './drain.js'
-import type * as flows from './request-flow.js'
+import type * as sendOutcomes from './send-outcome.js'
 
 /** Largest event that the gateway holds in memory until it is complete, in bytes. */
 const MAXIMUM_EVENT_BYTES = 256 * 1024
@@ -33,7 +33,7 @@
   }
 
   /** Relays until the target's stream ends, and ends the caller's response only if the stream is complete. */
-  async run (source: http.IncomingMessage): Promise<flows.SendOutcome> {
+  async run (source: http.IncomingMessage): Promise<sendOutcomes.SendOutcome> {
     try {
       for await (const chunk of source) {
         if (!await this.#forwardEvents(chunk as Buffer)) return { kind: 'overtaken' }
@@ -76,7 +76,7 @@
     response.writeHead(this.#answer.status, this.#answer.forwardedHeaders)
   }
 
-  #interruptedOutcome (reason: string, isConnectionLost: boolean): flows.SendOutcome {
+  #interruptedOutcome (reason: string, isConnectionLost: boolean): sendOutcomes.SendOutcome {
     return this.#call.response.headersSent ? { kind: 'cut', reason, isConnectionLost } : { kind: 'lost', reason, isConnectionLost }
   }
 }
