Share a full service among accounts, by rank and max-min

Cause: nobody keeps who uses how much of a service. At a full service (requests that are as urgent or more would wait at the targets for over an eighth of the objective) an account may have in progress what a max-min division among the accounts that ask gives it; more waits in ConnectionSlots for up to an eighth of the objective, or is refused at once with a spread time to return.

--- a/packages/decisions/src/target-board.ts
+++ b/packages/decisions/src/target-board.ts
@@ -1,4 +1,5 @@
 import * as types from './agreement-types.js'
+import type * as serviceRoom from './service-room.js'
 import * as workEstimate from './work-estimate.js'
 import * as zoneEvacuations from './zone-evacuations.js'
 
@@ -155,6 +156,20 @@
     return [...this.#targets.values()].filter((target) => target.entry.service === service && !target.entry.leaving)
   }
 
+  /** Returns the slots of a service's targets that stay and can be reached, and the requests of all routers in flight at them. */
+  serviceLoad (service: string, now: number): serviceRoom.ServiceLoad {
+    const usable = this.assignableTargets(service).filter((target) => target.backoffUntil - now <= REFUSED_BACKOFF_MS)
+    return {
+      slots: usable.reduce((sum, target) => sum + target.entry.slots, 0),
+      requests: usable.reduce((sum, target) => sum + target.ownWork.requests + target.otherRoutersWork.requests, 0)
+    }
+  }
+
+  /** Returns the mean time until a service's first event or answer, in milliseconds. */
+  readingMs (service: string): number {
+    return this.#serviceTimes.lifetimes(service).readingMs
+  }
+
   /** Returns a value of each target by its id, for metrics. */
   gauge (valueOf: (target: TargetState) => number): Record<string, number> {
     return Object.fromEntries([...this.#targets].map(([id, target]) => [id, valueOf(target)]))
--- a/packages/gateway/src/call-refusals.ts
+++ b/packages/gateway/src/call-refusals.ts
@@ -87,6 +87,10 @@
       this.#refuse(call, 503, 'all targets want no requests now', this.#lengthen(call.permitWaitMs))
       return 'targets-rest'
     }
+    if (call.room?.retryAfterMs !== undefined) {
+      this.#refuse(call, 503, 'the service is full, and the account uses its part', call.room.retryAfterMs)
+      return 'service-full'
+    }
     this.#refuse(call, 503, 'no target can take the request now', call.permitWaitMs ?? NO_TARGET_RETRY_AFTER_MS)
     return call.permitWaitMs === undefined ? 'no-target' : 'at-limit'
   }
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -417,6 +417,7 @@
       permitWaitMs: call.permitWaitMs === undefined ? undefined : Math.round(call.permitWaitMs),
       evacuatedZones: call.evacuatedZones?.length === 0 ? undefined : call.evacuatedZones,
       budget: call.budget,
+      room: call.room,
       waitsMs: call.request.remainingMs,
       ...arrivalForLog(call.arrival),
       sends: call.sends,
--- a/packages/gateway/src/connection-slots.ts
+++ b/packages/gateway/src/connection-slots.ts
@@ -7,10 +7,12 @@
 /** Place of a request among those that wait for a target of a service with room. */
 export class WaitingTurn {
   readonly rank: number
+  readonly account: string
   #wake: () => void = () => {}
 
-  constructor (rank: number) {
+  constructor (rank: number, account: string) {
     this.rank = rank
+    this.account = account
   }
 
   /** Resolves when it is this request's turn, at the latest after `maximumMs`, or when the signal aborts. */
@@ -41,6 +43,8 @@
   readonly #onFull: () => void
   #totalInUse = 0
   readonly #inUse = new Map<string, number>()
+  /** Requests with a connection, by service and account. */
+  readonly #inUseByAccount = new Map<string, number>()
   /** Requests that wait, by service, the most urgent first and in order of arrival. */
   readonly #turns = new Map<string, WaitingTurn[]>()
 
@@ -55,30 +59,51 @@
     return this.#totalInUse < this.#maximumConnections && (this.#inUse.get(targetRunAtAddress(entry)) ?? 0) < this.#limitOf(entry.service)
   }
 
-  /** Takes a connection to a target. Call the returned function once, when the connection is free again. */
-  take (entry: Entry): () => void {
+  /** Takes a connection to a target for an account. Call the returned function once, when the connection is free again. */
+  take (entry: Entry, account = ''): () => void {
     const key = targetRunAtAddress(entry)
     this.#inUse.set(key, (this.#inUse.get(key) ?? 0) + 1)
     this.#totalInUse += 1
+    const accountKey = `${entry.service} ${account}`
+    this.#inUseByAccount.set(accountKey, (this.#inUseByAccount.get(accountKey) ?? 0) + 1)
     return () => {
       const wasFull = this.#totalInUse >= this.#maximumConnections
       this.#totalInUse -= 1
       const left = (this.#inUse.get(key) ?? 0) - 1
       if (left > 0) this.#inUse.set(key, left)
       else this.#inUse.delete(key)
-      if (wasFull) for (const turns of this.#turns.values()) turns[0]?.wake()
-      else this.#turns.get(entry.service)?.[0]?.wake()
+      const leftOfAccount = (this.#inUseByAccount.get(accountKey) ?? 0) - 1
+      if (leftOfAccount > 0) this.#inUseByAccount.set(accountKey, leftOfAccount)
+      else this.#inUseByAccount.delete(accountKey)
+      if (wasFull) for (const service of this.#turns.keys()) this.#wakeNext(service)
+      else this.#wakeNext(entry.service)
     }
   }
 
+  /** Wakes the next request of a service: of the most urgent ones, the first of the account that has the fewest connections. */
+  #wakeNext (service: string, after?: WaitingTurn): void {
+    const order = this.#inOrder(service)
+    order[after === undefined ? 0 : order.indexOf(after) + 1]?.wake()
+  }
+
+  #inOrder (service: string): WaitingTurn[] {
+    const inUse = (turn: WaitingTurn): number => this.#inUseByAccount.get(`${service} ${turn.account}`) ?? 0
+    return [...this.#turns.get(service) ?? []].sort((left, right) => left.rank - right.rank || inUse(left) - inUse(right))
+  }
+
+  /** Wakes the request behind one that was woken and still waits. */
+  passOn (service: string, turn: WaitingTurn): void {
+    this.#wakeNext(service, turn)
+  }
+
   /** Call it when a request has to wait. */
   makeRoom (): void {
     if (this.#totalInUse >= this.#maximumConnections) this.#onFull()
   }
 
   /** Queues a request behind those of its service that are as urgent. Call `leaveQueue` when it no longer waits. */
-  joinQueue (service: string, rank: number): WaitingTurn {
-    const turn = new WaitingTurn(rank)
+  joinQueue (service: string, rank: number, account = ''): WaitingTurn {
+    const turn = new WaitingTurn(rank, account)
     const turns = this.#turns.get(service) ?? []
     const position = turns.findIndex((other) => other.rank > rank)
     turns.splice(position === -1 ? turns.length : position, 0, turn)
--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -33,6 +33,7 @@
   promptParts: decisions.promptPartBoard.PromptPartBoard
   targetLimits: decisions.targetLimits.TargetLimits
   coldTargets: decisions.coldTargets.ColdTargets
+  room: decisions.serviceRoom.ServiceRoom
   /** Returns this gateway's own entry, the sender of its heartbeats. */
   member: () => routers.gatewayMessages.GatewayMember
   /** Fetches a newer agreement and newer targets from a gateway. */
@@ -107,6 +108,7 @@
       promptParts: promptParts.reports(clock.now()),
       targetLimits: targetLimits.reports(clock.now()),
       coldTargets: coldTargets.reports(clock.now()),
+      serviceUse: this.#options.room.reports((service) => board.serviceLoad(service, clock.now())),
       leavingTargets: board.entries().filter((entry) => entry.leaving).map((entry) => entry.id),
       evacuatedZones: evacuations.report((zone) => board.entries().some((entry) => entry.availabilityZone === zone)),
       evacuationsRevision: evacuations.version.revision,
@@ -142,6 +144,7 @@
     if (now - this.#workEstimatedAt < WORK_ESTIMATE_INTERVAL_MS) return
     this.#workEstimatedAt = now
     board.estimateOtherRoutersWork(peers.workReports(now))
+    this.#options.room.setReports(peers.serviceUseReports(now))
   }
 
   #confirmKnowledge (heartbeat: routers.gatewayMessages.GatewayHeartbeat, now: number): void {
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -17,6 +17,7 @@
   freeTokens: () => Record<string, number>
   targetRequests: () => Record<string, number>
   targetRoom: () => Record<string, number>
+  accountRequests: () => Record<string, number>
   storeCalls: () => platform.objectStore.StoreCallCounts
   droppedLogLines: () => number
 }
@@ -35,6 +36,7 @@
   readonly #closedConnections: metrics.Counter
   readonly #choices: metrics.Counter
   readonly #budgetRefusals: metrics.Counter
+  readonly #fullServices: metrics.Counter
 
   constructor (source: GaugeSource) {
     const registers = [this.#server.registry]
@@ -53,6 +55,8 @@
     this.#server.addLabelledGauge('acaciaweir_target_requests', 'Requests in flight at a target from all gateways, as estimated', 'target', source.targetRequests)
     this.#server.addLabelledGauge('acaciaweir_target_room', 'Free slots of a target, as estimated; negative if requests queue there', 'target', source.targetRoom)
     this.#budgetRefusals = new metrics.Counter({ name: 'acaciaweir_budget_refusals_total', help: 'Requests refused for their prepaid budget, by whether it had tokens left as far as known', labelNames: ['outcome', 'budget_left'], registers })
+    this.#fullServices = new metrics.Counter({ name: 'acaciaweir_full_service_total', help: 'Requests that a full service made wait or be refused, by rank', labelNames: ['verdict', 'rank'], registers })
+    this.#server.addLabelledGauge('acaciaweir_account_requests', 'Requests in progress and waiting for room, of the largest accounts', 'account', source.accountRequests)
     this.#server.addGauge('acaciaweir_limited_targets', 'Targets that name a limit', source.limitedTargets)
     this.#server.addGauge('acaciaweir_cold_targets', 'Targets that are cold', source.coldTargets)
     this.#server.addGauge('acaciaweir_evacuated_zones', 'Zones that an operator has evacuated', source.evacuatedZones)
@@ -98,6 +102,10 @@
     this.#budgetRefusals.inc({ outcome, budget_left: String(isBudgetLeft) })
   }
 
+  countFullService (verdict: string, rank: number): void {
+    this.#fullServices.inc({ verdict, rank: String(rank) })
+  }
+
   listen (port: number, address: string): Promise<number> {
     return this.#server.listen(port, address)
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import * as peerTasks from './peer-task.js'
 import * as registrations from './registration.js'
 import * as flows from './request-flow.js'
+import * as roomQueues from './room-queue.js'
 import * as storeRecoveries from './store-recovery.js'
 import * as targetChoosers from './target-chooser.js'
 import * as targetWatches from './target-watch.js'
@@ -30,6 +31,9 @@
 /** Timeout of store calls other than watches, in milliseconds. */
 const STORE_TIMEOUT_MS = 800
 
+/** Accounts whose requests in progress are in the metrics by name. */
+const ACCOUNTS_IN_METRICS = 20
+
 /** Time after SIGTERM until idle connections are closed, in milliseconds. Callers learn of other gateways meanwhile. */
 const IDLE_CLOSE_DELAY_MS = 1500
 
@@ -79,6 +83,7 @@
   readonly #store: platform.objectStore.ObjectStore
   readonly #evacuations = new decisions.zoneEvacuations.ZoneEvacuations()
   readonly #targetBoard = new decisions.targetBoard.TargetBoard(this.#evacuations)
+  readonly #serviceRoom = new decisions.serviceRoom.ServiceRoom()
   readonly #promptParts: decisions.promptPartBoard.PromptPartBoard
   readonly #targetLimits: decisions.targetLimits.TargetLimits
   readonly #coldTargets: decisions.coldTargets.ColdTargets
@@ -351,6 +356,7 @@
       promptParts: this.#promptParts,
       targetLimits: this.#targetLimits,
       coldTargets: this.#coldTargets,
+      room: this.#serviceRoom,
       member: () => this.#member(),
       fetchState: (peerAddress) => { void this.#peerTask.fetchState(peerAddress) }
     })
@@ -381,6 +387,7 @@
       const maximumConnections = this.#configurationWatch.routeTable?.service(service)?.maximumConnections ?? Infinity
       return targetConnections.connectionLimit(maximumConnections, this.#fleetView.gatewayCount())
     }
+    const slots = new connectionSlots.ConnectionSlots(connectionLimit, decisions.memoryYielding.targetConnectionLimit(this.#settings.maximumDescriptors), () => { this.#callerServer.closeStillestAnswers() })
     const chooser = new targetChoosers.TargetChooser({
       clock: this.#clock,
       logger: this.#logger,
@@ -390,7 +397,15 @@
       coldTargets: this.#coldTargets,
       targetRests: new decisions.targetRests.TargetRests(),
       permits: this.#targetPermits,
-      slots: new connectionSlots.ConnectionSlots(connectionLimit, decisions.memoryYielding.targetConnectionLimit(this.#settings.maximumDescriptors), () => { this.#callerServer.closeStillestAnswers() }),
+      slots,
+      roomQueue: new roomQueues.RoomQueue({
+        clock: this.#clock,
+        board: this.#targetBoard,
+        room: this.#serviceRoom,
+        slots,
+        random: this.#random,
+        onFull: (verdict, rank) => { this.#metrics.countFullService(verdict, rank) }
+      }),
       leavingAdmission: this.#leavingAdmission,
       availabilityZone: this.#settings.availabilityZone,
       announce,
@@ -403,6 +418,7 @@
       tokens: this.#tokenTask,
       retryAllowance: this.#retryAllowance,
       promptParts: this.#promptParts,
+      room: this.#serviceRoom,
       chooser,
       connectionLimit,
       random: this.#random,
@@ -444,6 +460,7 @@
       freeTokens: () => this.#tokenTask.freeTokens(),
       targetRequests: () => this.#targetBoard.gauge(decisions.placement.requestsInFlight),
       targetRoom: () => this.#targetBoard.gauge((target) => target.entry.slots - decisions.placement.requestsInFlight(target)),
+      accountRequests: () => this.#serviceRoom.largestAccounts(ACCOUNTS_IN_METRICS),
       storeCalls: () => this.#store.callCounts,
       droppedLogLines: this.#options.log.droppedLines
     }
--- a/packages/gateway/src/peer-table.ts
+++ b/packages/gateway/src/peer-table.ts
@@ -168,6 +168,11 @@
     return reports
   }
 
+  /** Returns what the live gateways have last reported of their use of busy services. */
+  serviceUseReports (now: number): decisions.serviceRoom.ServiceUseReport[] {
+    return [...this.#peers.values()].flatMap((peer) => peer.heartbeat === undefined || !this.#isLive(peer, now) ? [] : [{ ageMs: now - peer.heartbeatReceivedAt, uses: peer.heartbeat.serviceUse }])
+  }
+
   #isLive (peer: Peer, now: number): boolean {
     return now - peer.lastSeenAt <= SUSPECT_AFTER_MS + this.#peers.size * SUSPECT_AFTER_PER_GATEWAY_MS
   }
--- a/packages/gateway/src/target-chooser.ts
+++ b/packages/gateway/src/target-chooser.ts
@@ -3,6 +3,7 @@
 import type * as runtime from '@acaciaweir/runtime'
 import type * as calls from './call.js'
 import type * as connectionSlots from './connection-slots.js'
+import type * as roomQueues from './room-queue.js'
 import type * as targetPermits from './target-permits.js'
 
 type Entry = decisions.agreementTypes.TargetEntry
@@ -29,6 +30,7 @@
   coldTargets: decisions.coldTargets.ColdTargets
   permits: targetPermits.TargetPermits
   slots: connectionSlots.ConnectionSlots
+  roomQueue: roomQueues.RoomQueue
   leavingAdmission: decisions.leavingAdmission.LeavingAdmission
   availabilityZone: string
   /** Sends a heartbeat with what a target said to the other gateways. */
@@ -57,13 +59,14 @@
    * all targets are at their limits or rest, waits if that does not take long; otherwise returns undefined, and sets the time that it would take.
    */
   async place (call: calls.Call, triedTargets: ReadonlySet<string>): Promise<ChosenTarget | undefined> {
-    const { slots } = this.#options
+    const { roomQueue, slots } = this.#options
+    if (!await roomQueue.enter(call)) return undefined
     let turn: connectionSlots.WaitingTurn | undefined
     try {
       while (call.abortReason === undefined && this.mayStart(call)) {
         const chosen = await this.#placeUnlessFull(call, triedTargets)
         if (chosen !== undefined || this.#fullTargets(call, triedTargets).length === 0) return chosen
-        turn ??= slots.joinQueue(call.service, call.rank)
+        turn ??= slots.joinQueue(call.service, call.rank, call.account?.name)
         slots.makeRoom()
         await turn.next(ROOM_CHECK_INTERVAL_MS, call.abortController.signal)
       }
@@ -148,12 +151,14 @@
 
   /** Takes a connection to the target, and counts the call there before it is sent. */
   #take (call: calls.Call, placement: decisions.placement.Placement): ChosenTarget {
-    const { board, clock, onChosen, slots } = this.#options
+    const { board, clock, onChosen, roomQueue, slots } = this.#options
     onChosen(placement.reason)
     const stopCounting = board.recordChoice(placement.target.entry.id, decisions.placement.promptReadingCost(call.request.promptTokens ?? 0), clock.now())
-    const releaseConnection = slots.take(placement.target.entry)
+    const releaseConnection = slots.take(placement.target.entry, call.account?.name)
+    const stopUsing = roomQueue.start(call)
     const release = (): void => {
       stopCounting()
+      stopUsing()
       releaseConnection()
     }
     return { placement, stopCounting, release }
--- a/packages/gateway/src/target-sender.ts
+++ b/packages/gateway/src/target-sender.ts
@@ -22,6 +22,7 @@
   connections: connections.TargetConnections
   promptParts: decisions.promptPartBoard.PromptPartBoard
   chooser: targetChoosers.TargetChooser
+  room: decisions.serviceRoom.ServiceRoom
   /** Sends a heartbeat with new evidence about prompt parts to the other gateways. */
   announce: () => void
   /** Connections that this gateway may open to each target of a service. */
@@ -39,9 +40,10 @@
 
   /** Sends a call to a target until its answer has ended. */
   async send (call: calls.Call, placement: decisions.placement.Placement, race: answerRaces.AnswerRace, send: answerRaces.SendInProgress): Promise<SendOutcome> {
-    const { board, clock } = this.#options
+    const { board, clock, room } = this.#options
     const target = placement.target.entry
     const startedAt = clock.now()
+    const load = board.serviceLoad(target.service, startedAt)
     const unreadTokens = decisions.placement.promptReadingCost(call.request.promptTokens ?? 0)
     let pendingTokens = unreadTokens
     let readAt: number | undefined
@@ -56,7 +58,10 @@
     const ended = await this.#sendAndReceive(call, placement, onPromptRead, span, race, send)
     const outcome: SendOutcome = send.isOvertaken && ended.kind !== 'not-run' ? { kind: 'overtaken' } : ended
     onPromptRead()
-    if (outcome.kind === 'answered' && isSuccess(outcome.status)) board.recordTimes(target.service, (readAt ?? clock.now()) - startedAt, clock.now() - startedAt)
+    if (outcome.kind === 'answered' && isSuccess(outcome.status)) {
+      board.recordTimes(target.service, (readAt ?? clock.now()) - startedAt, clock.now() - startedAt)
+      room.recordTime(target.service, clock.now() - startedAt, load)
+    }
     board.recordEnd(target.id, send.isOvertaken ? TargetResult.undecided : targetResultOf(call, outcome), clock.now())
     this.#recordPromptParts(call, target.id, outcome)
     span.end()
--- a/packages/gateway/test/cold-fleet.ts
+++ b/packages/gateway/test/cold-fleet.ts
@@ -2,6 +2,7 @@
 import * as runtime from '@acaciaweir/runtime'
 import type * as calls from '../src/call.js'
 import * as connectionSlots from '../src/connection-slots.js'
+import * as roomQueues from '../src/room-queue.js'
 import * as targetChoosers from '../src/target-chooser.js'
 import * as targetPermits from '../src/target-permits.js'
 import * as virtualClocks from './virtual-clock.js'
@@ -116,6 +117,7 @@
       },
       onOutcome: () => {}
     })
+    const slots = new connectionSlots.ConnectionSlots(() => Infinity)
     const chooser = new targetChoosers.TargetChooser({
       clock,
       board,
@@ -123,7 +125,8 @@
       coldTargets,
       targetLimits: limits,
       logger: runtime.logging.createLogger('silent'),
-      slots: new connectionSlots.ConnectionSlots(() => Infinity),
+      slots,
+      roomQueue: new roomQueues.RoomQueue({ clock, board, room: new decisions.serviceRoom.ServiceRoom(), slots, random: new decisions.random.SeededRandom(index + 1), onFull: () => {} }),
       leavingAdmission: new decisions.leavingAdmission.LeavingAdmission(),
       targetRests: new decisions.targetRests.TargetRests(),
       availabilityZone: 'zone-a',
--- a/packages/gateway/test/fleet-view.test.ts
+++ b/packages/gateway/test/fleet-view.test.ts
@@ -12,7 +12,7 @@
 
 function heartbeat (host: string, leaving: boolean): routers.gatewayMessages.GatewayHeartbeat {
   const sender = { host, incarnation: `${host}-1`, peerAddress: `${host}:1`, callerAddress: `${host}:2`, availabilityZone: 'z', leaving, ready: true, load: 0, storeSilenceMs: 0, processorShare: 1, knowledgeAgeMs: 0, storeReach: 0 }
-  return { sender, heard: [], agreementVersion: 1, targetsRevision: 1, targetsEpoch: 2, storeEpoch: 3, pageEpoch: 2, drawnTokens: {}, drawnChange: 0, work: [], freeTokens: {}, spending: {}, leavingTargets: [], evacuatedZones: [], evacuationsRevision: 0, evacuationsEpoch: 0, promptParts: [], targetLimits: [], coldTargets: [], sequence: 1, asksForAnswer: false }
+  return { sender, heard: [], agreementVersion: 1, targetsRevision: 1, targetsEpoch: 2, storeEpoch: 3, pageEpoch: 2, drawnTokens: {}, drawnChange: 0, work: [], freeTokens: {}, spending: {}, leavingTargets: [], evacuatedZones: [], evacuationsRevision: 0, evacuationsEpoch: 0, promptParts: [], targetLimits: [], coldTargets: [], serviceUse: [], sequence: 1, asksForAnswer: false }
 }
 
 function viewOf (host: string, heard: readonly string[], leaving: readonly string[], addresses: readonly string[] = []): fleetViews.FleetView {
--- a/packages/gateway/test/outdated-agreement.test.ts
+++ b/packages/gateway/test/outdated-agreement.test.ts
@@ -40,5 +40,5 @@
 
 function heartbeat (peerAddress: string, agreementVersion: number, sequence: number): routers.gatewayMessages.GatewayHeartbeat {
   const sender = { host: 'ahead', incarnation: 'ahead-1', peerAddress, callerAddress: '127.0.0.1:1', availabilityZone: 'zone-a', leaving: false, ready: true, load: 0, storeSilenceMs: 0, processorShare: 1, knowledgeAgeMs: 0, storeReach: 0 }
-  return { sender, heard: [], agreementVersion, targetsRevision: 0, targetsEpoch: 2, storeEpoch: 3, pageEpoch: 2, drawnTokens: { depot: 7 }, drawnChange: 5, work: [], freeTokens: {}, spending: {}, leavingTargets: [], evacuatedZones: [], evacuationsRevision: 0, evacuationsEpoch: 0, promptParts: [], targetLimits: [], coldTargets: [], sequence, asksForAnswer: false }
+  return { sender, heard: [], agreementVersion, targetsRevision: 0, targetsEpoch: 2, storeEpoch: 3, pageEpoch: 2, drawnTokens: { depot: 7 }, drawnChange: 5, work: [], freeTokens: {}, spending: {}, leavingTargets: [], evacuatedZones: [], evacuationsRevision: 0, evacuationsEpoch: 0, promptParts: [], targetLimits: [], coldTargets: [], serviceUse: [], sequence, asksForAnswer: false }
 }
--- a/packages/gateway/test/peer-table.test.ts
+++ b/packages/gateway/test/peer-table.test.ts
@@ -12,7 +12,7 @@
 
 function heartbeat (sequence: number, fields: Partial<routers.gatewayMessages.GatewayHeartbeat> = {}): routers.gatewayMessages.GatewayHeartbeat {
   const sender = { host: 'other', incarnation: 'other-1', peerAddress: OTHER, callerAddress: '10.0.0.2:2', availabilityZone: 'a', leaving: false, ready: true, load: 0, storeSilenceMs: 0, processorShare: 1, knowledgeAgeMs: 0, storeReach: 0 }
-  return { sender, heard: [], agreementVersion: 1, targetsRevision: 1, targetsEpoch: 2, storeEpoch: 3, pageEpoch: 2, drawnTokens: { depot: 7 }, drawnChange: 5, work: [], freeTokens: {}, spending: {}, leavingTargets: [], evacuatedZones: [], evacuationsRevision: 0, evacuationsEpoch: 0, promptParts: [], targetLimits: [], coldTargets: [], sequence, asksForAnswer: false, ...fields }
+  return { sender, heard: [], agreementVersion: 1, targetsRevision: 1, targetsEpoch: 2, storeEpoch: 3, pageEpoch: 2, drawnTokens: { depot: 7 }, drawnChange: 5, work: [], freeTokens: {}, spending: {}, leavingTargets: [], evacuatedZones: [], evacuationsRevision: 0, evacuationsEpoch: 0, promptParts: [], targetLimits: [], coldTargets: [], serviceUse: [], sequence, asksForAnswer: false, ...fields }
 }
 
 describe('PeerTable', () => {
--- a/packages/gateway/test/target-chooser.test.ts
+++ b/packages/gateway/test/target-chooser.test.ts
@@ -8,6 +8,7 @@
 import type * as calls from '../src/call.js'
 import type * as targetPermits from '../src/target-permits.js'
 import * as connectionSlots from '../src/connection-slots.js'
+import * as roomQueues from '../src/room-queue.js'
 import * as targetChoosers from '../src/target-chooser.js'
 import * as virtualClocks from './virtual-clock.js'
 
@@ -20,6 +21,7 @@
   readonly clock = new virtualClocks.VirtualClock()
   readonly evacuations = new decisions.zoneEvacuations.ZoneEvacuations()
   readonly board = new decisions.targetBoard.TargetBoard(this.evacuations)
+  readonly room = new decisions.serviceRoom.ServiceRoom()
   readonly slots: connectionSlots.ConnectionSlots
   readonly entries: decisions.agreementTypes.TargetEntry[]
   readonly chooser: targetChoosers.TargetChooser
@@ -45,6 +47,7 @@
       random: new decisions.random.SeededRandom(1),
       permits,
       slots: this.slots,
+      roomQueue: new roomQueues.RoomQueue({ clock: this.clock, board: this.board, room: this.room, slots: this.slots, random: new decisions.random.SeededRandom(1), onFull: () => {} }),
       leavingAdmission: new decisions.leavingAdmission.LeavingAdmission(),
       logger: runtime.logging.createLogger('silent'),
       targetLimits: new decisions.targetLimits.TargetLimits(() => {}),
@@ -139,4 +142,33 @@
       expect([target?.entry.id, copyFrom?.entry.id]).to.deep.equal(['a', evacuated.length === 0 ? 'b' : undefined])
     })
   }
+
+  const fullService: Array<{ name: string, hasBeenSent?: boolean, abortReason?: 'caller', inProgress: number, ended: number, chosen: string | undefined, isRefused: boolean, hasWaited?: boolean }> = [
+    { name: 'refuses at once a request of an account that has much more than its part of a full service', inProgress: 40, ended: 0, chosen: undefined, isRefused: true },
+    { name: 'sends a request that was sent before, although its account has more than its part', hasBeenSent: true, inProgress: 40, ended: 0, chosen: 'a', isRefused: false },
+    { name: 'sends a request that waits for room once enough of its account have ended', inProgress: 9, ended: 6, chosen: 'a', isRefused: false, hasWaited: true }
+  ]
+  for (const { name, hasBeenSent = false, inProgress, ended, chosen, isRefused, hasWaited = isRefused } of fullService) {
+    it(name, async () => {
+      const scene = new Scene(['a'], {}, Infinity)
+      Object.assign(scene.call, { account: { name: 'busy' }, route: { name: 'plan', objectiveMs: 1000 }, deadlineAt: 4000, sends: hasBeenSent ? [{ result: 'lost' }] : [] })
+      for (let count = 0; count < 400; count++) scene.room.recordTime('engines', 1000, { slots: 4, requests: 1 })
+      scene.room.start('engines', 'calm', 0)
+      scene.board.recordStart('a', 0, [], 0)
+      const ends = Array.from({ length: inProgress }, () => {
+        scene.board.recordStart('a', 0, [], 0)
+        return scene.room.start('engines', 'busy', 0)
+      })
+      if (inProgress < 10) for (let count = 0; count < 400; count++) scene.room.recordTime('engines', 100, { slots: 4, requests: 1 })
+      const placing = scene.chooser.place(scene.call, new Set())
+      for (const end of ends.slice(0, ended)) {
+        end()
+        scene.board.recordEnd('a', 'served', 0)
+      }
+      if (ended > 0) await new Promise<void>((resolve) => { setTimeout(resolve, 60) })
+      await scene.clock.runUntil(PERMIT_MS * 4)
+      expect((await placing)?.placement.target.entry.id).to.equal(chosen)
+      expect([scene.call.room !== undefined, scene.call.room?.retryAfterMs !== undefined]).to.deep.equal([hasWaited, isRefused])
+    })
+  }
 })
--- a/packages/gateway/test/token-fleet.ts
+++ b/packages/gateway/test/token-fleet.ts
@@ -205,7 +205,7 @@
   heartbeat (): routers.gatewayMessages.GatewayHeartbeat {
     this.#sequence += 1
     const sender = { host: this.#name, incarnation: this.#incarnation, peerAddress: this.#name, callerAddress: '', availabilityZone: this.#zone, leaving: this.isLeaving, ready: true, load: 0, storeSilenceMs: 0, processorShare: 1, knowledgeAgeMs: 1, storeReach: this.#reach.state(this.#fleet.clock.now()) }
-    return { sender, heard: this.peers.selectHeardGateways(this.#fleet.clock.now()), agreementVersion: 1, targetsRevision: 0, targetsEpoch: 1, storeEpoch: 1, pageEpoch: 1, drawnTokens: {}, drawnChange: 0, work: [], freeTokens: {}, spending: {}, leavingTargets: [], sequence: this.#sequence, asksForAnswer: false, promptParts: [], targetLimits: [], coldTargets: [], evacuatedZones: [], evacuationsRevision: 0, evacuationsEpoch: 0 }
+    return { sender, heard: this.peers.selectHeardGateways(this.#fleet.clock.now()), agreementVersion: 1, targetsRevision: 0, targetsEpoch: 1, storeEpoch: 1, pageEpoch: 1, drawnTokens: {}, drawnChange: 0, work: [], freeTokens: {}, spending: {}, leavingTargets: [], sequence: this.#sequence, asksForAnswer: false, promptParts: [], targetLimits: [], coldTargets: [], serviceUse: [], evacuatedZones: [], evacuationsRevision: 0, evacuationsEpoch: 0 }
   }
 }
 
--- a/packages/routers/src/gateway-messages.ts
+++ b/packages/routers/src/gateway-messages.ts
@@ -67,6 +67,8 @@
   targetLimits: decisions.targetLimits.TargetLimitReport[]
   /** Targets that are cold, as far as the sender knows. */
   coldTargets: decisions.coldTargets.ColdTargetReport[]
+  /** What the sender uses of services that have at most half of their slots free. */
+  serviceUse: decisions.serviceRoom.ServiceUse[]
   /** Evacuated zones as of `evacuationsRevision`. */
   evacuatedZones: string[]
   evacuationsRevision: number
