Take the newer reports of a large fleet for a sample of all

A request whose wait ends in vain gets a time to return of an eighth of the objective or more instead of a millisecond.

--- a/packages/decisions/src/service-room.ts
+++ b/packages/decisions/src/service-room.ts
@@ -1,12 +1,9 @@
 /** Share of a route's latency objective for which a request may wait for room, at its target and at the router each. */
 const WAIT_SHARE = 0.125
 
-/** Time in which another router's report loses most of its weight, in milliseconds. */
+/** Time in which another router's report loses most of its weight beside newer ones, in milliseconds. */
 const REPORT_LIFETIME_MS = 1000
 
-/** Age from which another router's report says nothing any more, in milliseconds. */
-const MAXIMUM_REPORT_AGE_MS = 3000
-
 /** Time for which a refused request counts as one that comes back, in milliseconds. */
 const RETURN_WINDOW_MS = 1000
 
@@ -68,6 +65,8 @@
   /** Requests of the account that wait before this one at this router. */
   place: number
   expectedWaitMs: number
+  /** Time after which room is expected, spread, for a caller that is not served, in milliseconds. */
+  retryAfterMs: number
   /** Age of the oldest report of another router that was used, in milliseconds. */
   reportAgeMs: number
 }
@@ -75,12 +74,23 @@
 export type RoomVerdict =
   | { kind: 'go' }
   | { kind: 'wait', maximumMs: number, grounds: RoomGrounds }
-  | { kind: 'refuse', retryAfterMs: number, grounds: RoomGrounds }
+  | { kind: 'refuse', grounds: RoomGrounds }
 
 interface OwnUse extends AccountUse { service: string }
 
 interface Demand { inProgress: number, waiting: number }
 
+/** What the other routers use of a service together, as estimated from their reports. */
+interface OthersUse {
+  named: AccountUse[]
+  /** Requests of each account that no report names. */
+  unnamed: number[]
+  requests: number
+  ageMs: number
+}
+
+const NO_USE: OthersUse = { named: [], unnamed: [], requests: 0, ageMs: 0 }
+
 /**
  * Says of each request whether the service has room for it, by account and rank. A service is full for a request if those that are as urgent
  * or more would make it wait at its target for longer than an eighth of its objective. Then accounts share the room: each may have in progress
@@ -90,7 +100,7 @@
   readonly #own = new Map<string, OwnUse>()
   readonly #slotMs = new Map<string, number>()
   readonly #refusedAt = new Map<string, number[]>()
-  #reports: readonly ServiceUseReport[] = []
+  #others = new Map<string, OthersUse>()
 
   /** Counts a request that is sent to a target. Call the returned function once, when it has ended. */
   start (service: string, account: string, rank: number): () => void {
@@ -109,15 +119,39 @@
     this.#slotMs.set(service, known + (slotMs - known) * NEWEST_SHARE)
   }
 
-  /** Replaces what the other routers have reported. */
+  /**
+   * Replaces what the other routers have last reported, one report of each. In a large fleet most reports are old, so the newer ones stand
+   * for all, as a sample.
+   */
   setReports (reports: readonly ServiceUseReport[]): void {
-    this.#reports = reports.filter(({ ageMs, uses }) => ageMs < MAXIMUM_REPORT_AGE_MS && uses.length > 0)
+    this.#others = new Map()
+    const weights = reports.map(({ ageMs }) => Math.exp(-ageMs / REPORT_LIFETIME_MS))
+    const scale = reports.length / Math.max(Number.MIN_VALUE, weights.reduce((sum, weight) => sum + weight, 0))
+    for (const [index, { ageMs, uses }] of reports.entries()) {
+      for (const use of uses) this.#addReport(use, weights[index] * scale, ageMs)
+    }
+  }
+
+  #addReport ({ service, largest, otherAccounts, otherRequests }: ServiceUse, weight: number, ageMs: number): void {
+    const others = this.#others.get(service) ?? { named: [], unnamed: [], requests: 0, ageMs: 0 }
+    this.#others.set(service, others)
+    others.ageMs = Math.max(others.ageMs, ageMs)
+    others.requests += (largest.reduce((sum, use) => sum + use.inProgress, 0) + otherRequests) * weight
+    for (const use of largest) {
+      const known = others.named.find(({ account, rank }) => account === use.account && rank === use.rank)
+      if (known === undefined) others.named.push({ ...use, inProgress: use.inProgress * weight, waiting: use.waiting * weight })
+      else Object.assign(known, { inProgress: known.inProgress + use.inProgress * weight, waiting: known.waiting + use.waiting * weight })
+    }
+    // Accounts without a name may be the same ones at several routers, so that they count once, with their largest number.
+    for (let account = 0; account < otherAccounts; account++) {
+      others.unnamed[account] = Math.max(others.unnamed[account] ?? 0, otherRequests / otherAccounts * weight)
+    }
   }
 
   /** Returns this router's use of the services that have at most half of their slots free, for the others. */
   reports (loadOf: (service: string) => ServiceLoad): ServiceUse[] {
     const services = new Set([...this.#own.values()].map(({ service }) => service))
-    const busy = [...services].filter((service) => isBusy(loadOf(service)))
+    const busy = [...services].filter((service) => isBusy(this.#withReported(service, loadOf(service))))
     return busy.map((service) => this.report(service)).filter((use) => use !== undefined)
   }
 
@@ -130,7 +164,7 @@
 
   /** Returns this router's use of a service for the others; undefined if it uses none of it. */
   report (service: string): ServiceUse | undefined {
-    const uses = [...this.#own.values()].filter((use) => use.service === service).sort((left, right) => sizeOf(right) - sizeOf(left))
+    const uses = this.#ownUses(service).sort((left, right) => sizeOf(right) - sizeOf(left))
     if (uses.length === 0) return undefined
     const others = uses.slice(REPORTED_ACCOUNTS)
     return {
@@ -142,7 +176,8 @@
   }
 
   /** Returns what to do with a request now. `jitter` is from 0 to 1. A request that may have run already must not ask. */
-  judge (request: RoomRequest, load: ServiceLoad, now: number, jitter: number): RoomVerdict {
+  judge (request: RoomRequest, known: ServiceLoad, now: number, jitter: number): RoomVerdict {
+    const load = this.#withReported(request.service, known)
     if (load.slots <= 0 || load.requests + 1 <= load.slots || !(request.objectiveMs > 0)) return { kind: 'go' }
     const { demands, lessUrgent, reportAgeMs } = this.#demands(request)
     const slotMs = Math.max(1, this.#slotMs.get(request.service) ?? ASSUMED_SLOT_MS)
@@ -156,55 +191,49 @@
     if (own.inProgress + 1 <= fairPart) return { kind: 'go' }
     const place = this.#waitingBefore(request)
     const expectedWaitMs = (own.inProgress + 1 - fairPart + place) * slotMs / fairPart
-    const grounds = { inProgress: own.inProgress, fairPart, place, expectedWaitMs, reportAgeMs }
+    const lately = this.#refusedLately(request, now)
+    const returnMs = Math.max(patienceMs, expectedWaitMs + lately.length * slotMs / fairPart)
+    const grounds = { inProgress: own.inProgress, fairPart, place, expectedWaitMs, reportAgeMs, retryAfterMs: returnMs * (1 + jitter * RETRY_JITTER_SHARE) }
     if (expectedWaitMs > patienceMs || expectedWaitMs + request.servingMs > request.timeLeftMs) {
-      return { kind: 'refuse', retryAfterMs: this.#returnMs(request, expectedWaitMs, slotMs / fairPart, now) * (1 + jitter * RETRY_JITTER_SHARE), grounds }
+      lately.push(now)
+      return { kind: 'refuse', grounds }
     }
     return { kind: 'wait', maximumMs: Math.min(patienceMs, request.timeLeftMs - request.servingMs), grounds }
   }
 
-  /** Returns the time after which room is expected for one more request of the account, behind those that were refused lately. */
-  #returnMs ({ service, account, objectiveMs }: RoomRequest, expectedWaitMs: number, perRequestMs: number, now: number): number {
+  /** Returns the times at which requests of the account were refused lately, whose callers come back. */
+  #refusedLately ({ service, account }: RoomRequest, now: number): number[] {
     const key = `${service} ${account}`
-    const refused = (this.#refusedAt.get(key) ?? []).filter((at) => now - at < RETURN_WINDOW_MS)
-    this.#refusedAt.set(key, [...refused, now])
-    return Math.max(objectiveMs * WAIT_SHARE, expectedWaitMs + refused.length * perRequestMs)
+    const lately = (this.#refusedAt.get(key) ?? []).filter((at) => now - at < RETURN_WINDOW_MS)
+    this.#refusedAt.set(key, lately)
+    return lately
   }
 
   #waitingBefore ({ service, account, rank }: RoomRequest): number {
-    return [...this.#own.values()].filter((use) => use.service === service && use.account === account && use.rank <= rank).reduce((sum, use) => sum + use.waiting, 0)
+    return this.#ownUses(service).filter((use) => use.account === account && use.rank <= rank).reduce((sum, use) => sum + use.waiting, 0)
   }
 
   /** Returns what accounts have in the fleet at ranks as urgent as the request's or more, and how many requests are less urgent. */
   #demands ({ service, rank }: RoomRequest): { demands: Map<string, Demand>, lessUrgent: number, reportAgeMs: number } {
     const demands = new Map<string, Demand>()
     let lessUrgent = 0
-    let reportAgeMs = 0
-    const add = (use: AccountUse, weight: number): void => {
-      if (use.rank > rank) {
-        lessUrgent += use.inProgress * weight
-        return
-      }
-      const known = demands.get(use.account) ?? { inProgress: 0, waiting: 0 }
-      demands.set(use.account, { inProgress: known.inProgress + use.inProgress * weight, waiting: known.waiting + use.waiting * weight })
-    }
-    for (const use of this.#own.values()) {
-      if (use.service === service) add(use, 1)
-    }
-    for (const { ageMs, uses } of this.#reports) {
-      const weight = Math.exp(-ageMs / REPORT_LIFETIME_MS)
-      for (const use of uses.filter((other) => other.service === service)) {
-        reportAgeMs = Math.max(reportAgeMs, ageMs)
-        for (const named of use.largest) add(named, weight)
-        // Accounts without a name may be the same ones at several routers, so that they count once, with their largest number.
-        for (let index = 0; index < use.otherAccounts; index++) {
-          const key = `\n${index}`
-          const known = demands.get(key)?.inProgress ?? 0
-          demands.set(key, { inProgress: Math.max(known, use.otherRequests / use.otherAccounts * weight), waiting: 0 })
-        }
-      }
+    const others = this.#others.get(service) ?? NO_USE
+    for (const use of [...this.#ownUses(service), ...others.named]) {
+      if (use.rank > rank) lessUrgent += use.inProgress
+      else addDemand(demands, use)
     }
-    return { demands, lessUrgent, reportAgeMs }
+    for (const [index, inProgress] of others.unnamed.entries()) demands.set(`\n${index}`, { inProgress, waiting: 0 })
+    return { demands, lessUrgent, reportAgeMs: others.ageMs }
+  }
+
+  /** Returns a load that is no less than what accounts have by the reports, which may be newer than what is known of the targets. */
+  #withReported (service: string, load: ServiceLoad): ServiceLoad {
+    const own = this.#ownUses(service).reduce((sum, use) => sum + use.inProgress, 0)
+    return { slots: load.slots, requests: Math.max(load.requests, own + (this.#others.get(service)?.requests ?? 0)) }
+  }
+
+  #ownUses (service: string): OwnUse[] {
+    return [...this.#own.values()].filter((use) => use.service === service)
   }
 
   #count (service: string, account: string, rank: number, kind: 'inProgress' | 'waiting'): () => void {
@@ -219,6 +248,11 @@
   }
 }
 
+function addDemand (demands: Map<string, Demand>, { account, inProgress, waiting }: AccountUse): void {
+  const known = demands.get(account) ?? { inProgress: 0, waiting: 0 }
+  demands.set(account, { inProgress: known.inProgress + inProgress, waiting: known.waiting + waiting })
+}
+
 function isBusy ({ slots, requests }: ServiceLoad): boolean {
   return requests * 2 >= slots
 }
--- a/packages/gateway/src/call-refusals.ts
+++ b/packages/gateway/src/call-refusals.ts
@@ -87,7 +87,7 @@
       this.#refuse(call, 503, 'all targets want no requests now', this.#lengthen(call.permitWaitMs))
       return 'targets-rest'
     }
-    if (call.room?.retryAfterMs !== undefined) {
+    if (call.room?.isRefused === true) {
       this.#refuse(call, 503, 'the service is full, and the account uses its part', call.room.retryAfterMs)
       return 'service-full'
     }
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -39,7 +39,7 @@
   /** Inputs of the budget decision, for the log. Set only where the budget refused the call. */
   budget?: Record<string, unknown>
   /** What the last verdict on the service's room rests on, for the log. Set only where the call had to wait or was refused. */
-  room?: decisions.serviceRoom.RoomGrounds & { retryAfterMs?: number }
+  room?: decisions.serviceRoom.RoomGrounds & { isRefused: boolean }
   /** Limit that the target named in the answer to the send in progress, in requests a second. */
   limitPerSecond?: number
   /** Time until a target takes the call again, in milliseconds, where all that could take it are at their limits or want no requests. */
--- a/packages/gateway/src/room-queue.ts
+++ b/packages/gateway/src/room-queue.ts
@@ -37,10 +37,10 @@
     let verdict = this.#judge(call)
     if (verdict.kind === 'go') return true
     this.#options.onFull(verdict.kind, call.rank)
-    call.room = { ...verdict.grounds }
+    call.room = { ...verdict.grounds, isRefused: false }
     if (verdict.kind === 'wait') verdict = await this.#waitForRoom(call, verdict.maximumMs)
     if (verdict.kind === 'go') return call.abortReason === undefined
-    call.room = { ...verdict.grounds, retryAfterMs: verdict.kind === 'refuse' ? verdict.retryAfterMs : verdict.grounds.expectedWaitMs }
+    call.room = { ...verdict.grounds, isRefused: true }
     return false
   }
 
--- a/packages/gateway/test/service-room-replay.ts
+++ b/packages/gateway/test/service-room-replay.ts
@@ -1,6 +1,7 @@
 import * as decisions from '@acaciaweir/decisions'
 
 const HEARTBEAT_INTERVAL_MS = 300
+const HEARTBEATS_PER_ROUND = 2
 const OBJECTIVE_MS = 150
 const DEADLINE_MS = 800
 const WARM_UP_MS = 2000
@@ -130,19 +131,23 @@
       const result = results.get(work.account.name)
       if (result !== undefined) result.heldMs += now - receivedAt
       if (verdict.kind === 'go') send(gateway, work, receivedAt)
-      else refuse(gateway, work, verdict.kind === 'refuse' ? verdict.retryAfterMs : verdict.grounds.expectedWaitMs, receivedAt)
+      else refuse(gateway, work, verdict.grounds.retryAfterMs, receivedAt)
     }
     ask()
   }
-  const beat = (index: number): void => {
-    const own = gateways[index].own
-    const use = gateways[index].room.report('s')
-    for (const [other, gateway] of gateways.entries()) {
-      if (other !== index) gateway.reports.set(index, { at: now, use, own })
+  const tell = (from: number, to: number): void => {
+    gateways[to].reports.set(from, { at: now, use: gateways[from].room.report('s'), own: gateways[from].own })
+  }
+  const beat = (index: number, next: number): void => {
+    const others = [...gateways.keys()].filter((other) => other !== index)
+    const round = others.length < decisions.fleetSize.MAXIMUM_SMALL_FLEET_SIZE ? others : Array.from({ length: HEARTBEATS_PER_ROUND }, (_value, offset) => others[(next + offset) % others.length])
+    for (const other of round) {
+      tell(index, other)
+      tell(other, index)
     }
-    at(now + HEARTBEAT_INTERVAL_MS, () => { beat(index) })
+    at(now + HEARTBEAT_INTERVAL_MS, () => { beat(index, next + HEARTBEATS_PER_ROUND) })
   }
-  for (const index of gateways.keys()) at(uniform() * HEARTBEAT_INTERVAL_MS, () => { beat(index) })
+  for (const index of gateways.keys()) at(uniform() * HEARTBEAT_INTERVAL_MS, () => { beat(index, index) })
   const arrive = (account: ReplayAccount): void => {
     const isBurst = now > WARM_UP_MS
     at(now - Math.log(uniform()) * 1000 / account.perSecond / (isBurst ? account.burst ?? 1 : 1), () => {
--- a/packages/gateway/test/service-room.test.ts
+++ b/packages/gateway/test/service-room.test.ts
@@ -41,6 +41,12 @@
     }
   }
 
+  it('serves the other accounts in time in a fleet of 91 gateways that hear of each other every few seconds', () => {
+    const accounts = [{ name: 'hot', perSecond: 80, gateways: Array.from({ length: 91 }, (_value, index) => index), burst: 7.5 }, ...OTHERS]
+    const results = replays.replayRoom({ seed: 1, isFair: true, accounts, gateways: 91, returning: 0.8 })
+    for (const other of ['b', 'c', 'd']) expect(results.get(other)?.shareInTime, other).to.be.at.least(0.8)
+  })
+
   const calm: Array<{ name: string, accounts: replays.ReplayAccount[] }> = [
     { name: 'with room to spare', accounts: [{ name: 'hot', perSecond: 80, gateways: [0] }, ...OTHERS] },
     { name: 'with a single account that overruns the service', accounts: [{ name: 'hot', perSecond: 80, gateways: ALL, burst: 9 }] }
--- a/packages/gateway/test/target-chooser.test.ts
+++ b/packages/gateway/test/target-chooser.test.ts
@@ -168,7 +168,7 @@
       if (ended > 0) await new Promise<void>((resolve) => { setTimeout(resolve, 60) })
       await scene.clock.runUntil(PERMIT_MS * 4)
       expect((await placing)?.placement.target.entry.id).to.equal(chosen)
-      expect([scene.call.room !== undefined, scene.call.room?.retryAfterMs !== undefined]).to.deep.equal([hasWaited, isRefused])
+      expect([scene.call.room !== undefined, scene.call.room?.isRefused === true]).to.deep.equal([hasWaited, isRefused])
     })
   }
 })
