Sum the reports of service use by a map

setReports with 91 gateways that all report took 692 µs (x86-64, one measurement beside other load), now 52; with 400, 3,532, now 376. It runs at most every 50 ms.

--- a/packages/decisions/src/service-room.ts
+++ b/packages/decisions/src/service-room.ts
@@ -82,14 +82,14 @@
 
 /** What the other routers use of a service together, as estimated from their reports. */
 interface OthersUse {
-  named: AccountUse[]
+  named: Map<string, AccountUse>
   /** Requests of each account that no report names. */
   unnamed: number[]
   requests: number
   ageMs: number
 }
 
-const NO_USE: OthersUse = { named: [], unnamed: [], requests: 0, ageMs: 0 }
+const NO_USE: OthersUse = { named: new Map(), unnamed: [], requests: 0, ageMs: 0 }
 
 /**
  * Says of each request whether the service has room for it, by account and rank. A service is full for a request if those that are as urgent
@@ -133,14 +133,16 @@
   }
 
   #addReport ({ service, largest, otherAccounts, otherRequests }: ServiceUse, weight: number, ageMs: number): void {
-    const others = this.#others.get(service) ?? { named: [], unnamed: [], requests: 0, ageMs: 0 }
+    const others = this.#others.get(service) ?? { named: new Map(), unnamed: [], requests: 0, ageMs: 0 }
     this.#others.set(service, others)
     others.ageMs = Math.max(others.ageMs, ageMs)
     others.requests += (largest.reduce((sum, use) => sum + use.inProgress, 0) + otherRequests) * weight
     for (const use of largest) {
-      const known = others.named.find(({ account, rank }) => account === use.account && rank === use.rank)
-      if (known === undefined) others.named.push({ ...use, inProgress: use.inProgress * weight, waiting: use.waiting * weight })
-      else Object.assign(known, { inProgress: known.inProgress + use.inProgress * weight, waiting: known.waiting + use.waiting * weight })
+      const key = `${use.rank} ${use.account}`
+      const sum = others.named.get(key) ?? { ...use, inProgress: 0, waiting: 0 }
+      others.named.set(key, sum)
+      sum.inProgress += use.inProgress * weight
+      sum.waiting += use.waiting * weight
     }
     // Accounts without a name may be the same ones at several routers, so that they count once, with their largest number.
     for (let account = 0; account < otherAccounts; account++) {
@@ -218,7 +220,7 @@
     const demands = new Map<string, Demand>()
     let lessUrgent = 0
     const others = this.#others.get(service) ?? NO_USE
-    for (const use of [...this.#ownUses(service), ...others.named]) {
+    for (const use of [...this.#ownUses(service), ...others.named.values()]) {
       if (use.rank > rank) lessUrgent += use.inProgress
       else addDemand(demands, use)
     }
