--- a/packages/gateway/test/target-chooser.test.ts
+++ b/packages/gateway/test/target-chooser.test.ts
@@ -146,6 +146,7 @@
   const fullService: Array<{ name: string, hasBeenSent?: boolean, abortReason?: 'caller', inProgress: number, ended: number, chosen: string | undefined, isRefused: boolean, hasWaited?: boolean }> = [
     { name: 'refuses at once a request of an account that has much more than its part of a full service', inProgress: 40, ended: 0, chosen: undefined, isRefused: true },
     { name: 'sends a request that was sent before, although its account has more than its part', hasBeenSent: true, inProgress: 40, ended: 0, chosen: 'a', isRefused: false },
+    { name: 'refuses a request that waited for room in vain', inProgress: 9, ended: 0, chosen: undefined, isRefused: true },
     { name: 'sends a request that waits for room once enough of its account have ended', inProgress: 9, ended: 6, chosen: 'a', isRefused: false, hasWaited: true }
   ]
   for (const { name, hasBeenSent = false, inProgress, ended, chosen, isRefused, hasWaited = isRefused } of fullService) {
