--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -71,6 +71,7 @@
       permitWaitMs: call.permitWaitMs === undefined ? undefined : Math.round(call.permitWaitMs),
       evacuatedZones: call.evacuatedZones?.length === 0 ? undefined : call.evacuatedZones,
       budget: call.budget,
+      room: call.room,
       waitsMs: call.request.remainingMs,
       ...arrivalForLog(call.arrival),
       sends: call.sends,
--- a/packages/gateway/test/outdated-agreement.test.ts
+++ b/packages/gateway/test/outdated-agreement.test.ts
@@ -84,5 +84,5 @@
 
 function heartbeat (peerAddress: string, agreementVersion: number, sequence: number, agreementChanges?: routers.gatewayMessages.AgreementChangesMessage): routers.gatewayMessages.GatewayHeartbeat {
   const sender = { host: 'ahead', incarnation: 'ahead-1', peerAddress, callerAddress: '127.0.0.1:1', availabilityZone: 'zone-a', leaving: false, ready: true, load: 0, storeSilenceMs: 0, processorShare: 1, knowledgeAgeMs: 0, storeReach: 0, agreementChanges }
-  return { sender, heard: [], agreementVersion, targetsRevision: 0, targetsEpoch: 0, storeEpoch: 0, pageEpoch: 0, drawnTokens: {}, drawnChange: 0, work: [], freeTokens: {}, spending: {}, leavingTargets: [], evacuatedZones: [], evacuationsRevision: 0, evacuationsEpoch: 0, promptParts: [], targetLimits: [], coldTargets: [], sequence, asksForAnswer: false }
+  return { sender, heard: [], agreementVersion, targetsRevision: 0, targetsEpoch: 0, storeEpoch: 0, pageEpoch: 0, drawnTokens: {}, drawnChange: 0, work: [], freeTokens: {}, spending: {}, leavingTargets: [], evacuatedZones: [], evacuationsRevision: 0, evacuationsEpoch: 0, promptParts: [], targetLimits: [], coldTargets: [], serviceUse: [], sequence, asksForAnswer: false }
 }
