--- a/packages/decisions/src/token-pool.ts
+++ b/packages/decisions/src/token-pool.ts
@@ -4,8 +4,10 @@
   horizonSeconds: number
   /** Largest fraction of an account's unspent tokens that all routers together hold ahead of demand. */
   maximumPooledShare: number
-  /** Smallest fraction of an account's unspent tokens that all routers together hold. */
+  /** Smallest fraction of an account's unspent tokens that several routers together hold. A part of it lies where no caller asks for it. */
   minimumPooledShare: number
+  /** The same for the only holder of an account. */
+  soleMinimumPooledShare: number
   /**
    * Fraction of an account's prepaid total that all routers together may hold ahead of demand, also where that is more than the largest
    * fraction of the unspent tokens. An account near its end is used up within the horizon anyway.
@@ -44,11 +46,25 @@
 /** Ratio to the target level above which a pool returns the excess. Below it, small changes cause no page write. */
 const RETURN_RATIO = 1.25
 
+/** The same for the only holder of an account. All others reach what it holds, and its level follows a spending that changes from second to second. */
+const SOLE_HOLDER_RETURN_RATIO = 2
+
 /** Ratio to the target level below which a pool is refilled, if several routers hold an account's tokens. */
 const REFILL_RATIO = 0.7
 
 /** The same for the only holder of an account. No other pool makes good what its own lacks when an outage begins. */
-export const SOLE_HOLDER_REFILL_RATIO = 0.9
+const SOLE_HOLDER_REFILL_RATIO = 0.9
+
+/** Ratios to the target level beyond which a pool is brought back to it. */
+export interface RebalancingRatios {
+  refillRatio: number
+  returnRatio: number
+}
+
+const DEFAULT_RATIOS: RebalancingRatios = { refillRatio: REFILL_RATIO, returnRatio: RETURN_RATIO }
+
+/** Those of the only holder of an account. */
+export const SOLE_HOLDER_RATIOS: RebalancingRatios = { refillRatio: SOLE_HOLDER_REFILL_RATIO, returnRatio: SOLE_HOLDER_RETURN_RATIO }
 
 interface AccountPool {
   free: number
@@ -152,7 +168,8 @@
     const unspentShare = remote.total > 0 ? Math.min(1, unspent / remote.total) : 1
     const scaledUnspent = unspent * (policy.pooledShareFactorAtEnd + (1 - policy.pooledShareFactorAtEnd) * unspentShare)
     const maximumLevel = Math.max(scaledUnspent * policy.maximumPooledShare, Math.min(unspent, remote.total * policy.pooledShareOfTotal))
-    const totalLevel = Math.max(scaledUnspent * policy.minimumPooledShare, Math.min(totalRate * policy.horizonSeconds, maximumLevel))
+    const minimumShare = remote.holderCount > 1 ? policy.minimumPooledShare : policy.soleMinimumPooledShare
+    const totalLevel = Math.max(scaledUnspent * minimumShare, Math.min(totalRate * policy.horizonSeconds, maximumLevel))
     const evenShare = 1 / Math.max(1, remote.holderCount)
     const evenWeight = this.#evenWeight(account, totalRate, nowSeconds)
     return Math.floor(totalLevel * (totalRate > 0 ? evenWeight * evenShare + (1 - evenWeight) * ownRate / totalRate : evenShare))
@@ -180,11 +197,11 @@
 
   /**
    * Returns whether the free tokens differ so much from the target level that a change is worthwhile. `refillRatio` is the ratio to the target
-   * level below which the pool is refilled.
+   * level below which the pool is refilled, `returnRatio` the one above which it returns the excess.
    */
-  needsRebalancing (account: string, targetLevel: number, refillRatio = REFILL_RATIO): boolean {
+  needsRebalancing (account: string, targetLevel: number, { refillRatio, returnRatio } = DEFAULT_RATIOS): boolean {
     const { free } = this.#pool(account)
-    return free < targetLevel * refillRatio || free > targetLevel * RETURN_RATIO
+    return free < targetLevel * refillRatio || free > targetLevel * returnRatio
   }
 
   /** Returns a snapshot of all pools by account, for heartbeats and metrics. */
--- a/packages/decisions/test/tokens.test.ts
+++ b/packages/decisions/test/tokens.test.ts
@@ -36,7 +36,7 @@
 })
 
 describe('token pool', () => {
-  const policy: tokenPool.PoolPolicy = { horizonSeconds: 10, maximumPooledShare: 0.5, minimumPooledShare: 0.1, pooledShareOfTotal: 0, pooledShareFactorAtEnd: 1 }
+  const policy: tokenPool.PoolPolicy = { horizonSeconds: 10, maximumPooledShare: 0.5, minimumPooledShare: 0.1, soleMinimumPooledShare: 0.1, pooledShareOfTotal: 0, pooledShareFactorAtEnd: 1 }
 
   it('refuses a reservation that does not fit, and frees the reserved tokens that were not spent', () => {
     const pool = new tokenPool.TokenPool()
--- a/packages/gateway/src/token-allocator.ts
+++ b/packages/gateway/src/token-allocator.ts
@@ -35,22 +35,11 @@
 /** Largest page age that is told to other gateways, in milliseconds. */
 const MAXIMUM_REPORTED_AGE_MS = 1_000_000
 
-/** How long a request waits for tokens beyond `ACQUIRE_TIMEOUT_MS`. */
-export interface Patience {
-  /** Longest time for which it waits for tokens that are under way, in milliseconds. */
-  underWayMs: number
-  /** Returns true if nobody waits for the request any more. */
-  isGone: () => boolean
-}
+export { POOL_POLICY } from './pool-policy.js'
+export type Patience = types.Patience
 
 const DEFAULT_PATIENCE: Patience = { underWayMs: 0, isGone: () => false }
 
-/**
- * Pools last through nine seconds without the store early in a budget, and hold a smaller part of what is unspent as it gets less. What they hold
- * is lost with the power of all gateways, and the rest must serve a fleet that loses it twice.
- */
-export const POOL_POLICY: decisions.tokenPool.PoolPolicy = { horizonSeconds: 9.5, maximumPooledShare: 0.3, minimumPooledShare: 0.28, pooledShareOfTotal: 0.03, pooledShareFactorAtEnd: 0.2 }
-
 /**
  * Reserves tokens for requests: from this gateway's pool, else from other gateways, else from the token page. Owns the pool and keeps
  * it near its desired level.
@@ -259,7 +248,7 @@
     for (const [account, total] of totals) {
       const desired = this.#estimator.desiredLevel(account)
       const change = desired - this.#pool.freeTokens(account) - this.#options.page.pending(account)
-      const isOffLevel = this.#pool.needsRebalancing(account, desired, this.#refillRatio(account))
+      const isOffLevel = this.#pool.needsRebalancing(account, desired, this.#rebalancingRatios(account))
       if (Math.abs(change) < total * MINIMUM_CHANGE_SHARE) continue
       if (change > 0) draws.set(account, change)
       else if (isOffLevel) excess.set(account, -change)
@@ -278,8 +267,8 @@
     })
   }
 
-  #refillRatio (account: string): number | undefined {
-    return this.#options.holders(account).role === TokenRole.holder ? decisions.tokenPool.SOLE_HOLDER_REFILL_RATIO : undefined
+  #rebalancingRatios (account: string): decisions.tokenPool.RebalancingRatios | undefined {
+    return this.#options.holders(account).role === TokenRole.holder ? decisions.tokenPool.SOLE_HOLDER_RATIOS : undefined
   }
 
   /** Draws for another gateway, as the one that writes the token page for all. */
--- a/packages/gateway/src/token-page-access.ts
+++ b/packages/gateway/src/token-page-access.ts
@@ -19,10 +19,16 @@
  */
 const DIRECT_DRAW_MAXIMUM_DELAY_MS = 2000
 
+/** The same after this gateway could not reach the store either, in milliseconds. The page writer keeps trying, and is asked meanwhile. */
+const FAILED_DIRECT_DRAW_MAXIMUM_DELAY_MS = 4000
+
 /** Time that a draw for which requests wait, and a draw ahead of demand, wait for a gateway's answer before another way is tried, in milliseconds. */
 const URGENT_DRAW_WAIT_MS = 150
 const AHEAD_DRAW_WAIT_MS = 1000
 
+/** How much longer than the last two draws took a further one is waited for. A store that has been away may answer slowly: asking others as well makes them all slower. */
+const SLOW_ANSWER_FACTOR = 2
+
 /** Time after which a page writer's next failure counts as the first one of another outage, in milliseconds. */
 const FAILURE_MEMORY_MS = 60_000
 
@@ -68,6 +74,10 @@
   readonly #pending = new Map<string, number>()
   /** Until when gateways that failed to write the page are not asked again, in milliseconds, by peer address. */
   readonly #failedWriters = new Map<string, number>()
+  /** Times that the last two draws through another gateway took, in milliseconds. */
+  #lastAnswersMs: [number, number] = [0, 0]
+  /** Those of them that answered that they could not write it. */
+  readonly #cutOffWriters = new Set<string>()
   /** From when on this gateway writes the page in place of the page writer, in milliseconds. */
   #directDrawAt = -Infinity
 
@@ -107,16 +117,20 @@
    */
   async draw (draws: ReadonlyMap<string, number>, needed = draws): Promise<pageClients.PageResult> {
     let isAnswerLate = false
+    let isAsked = false
     let writer = this.#pageWriter()
     for (let asked = 0; asked < MAXIMUM_ASKED_WRITERS && writer !== undefined && !this.#isFailed(writer); asked++) {
       const outcome = await this.#drawThrough(writer, isAnswerLate ? needed : draws, true)
       if (outcome === DrawOutcome.done) return pageClients.PageResult.changed
+      isAsked = true
       isAnswerLate ||= outcome === DrawOutcome.late
       writer = this.#pageWriter()
     }
     if (writer !== undefined && this.#isDirectDrawBackingOff()) return pageClients.PageResult.unreachable
+    // A writer that was cut off may reach the store again by now, and knows the newest revision.
+    if (writer !== undefined && !isAsked && this.#cutOffWriters.has(writer) && await this.#drawThrough(writer, draws, true) === DrawOutcome.done) return pageClients.PageResult.changed
     const result = await this.#drawDirectly(isAnswerLate ? needed : draws, true)
-    if (result === pageClients.PageResult.unreachable && writer !== undefined) this.#delayDirectDraws()
+    if (result === pageClients.PageResult.unreachable && writer !== undefined) this.#delayDirectDraws(FAILED_DIRECT_DRAW_MAXIMUM_DELAY_MS)
     return result
   }
 
@@ -171,15 +185,21 @@
 
   async #drawThrough (writer: string, draws: ReadonlyMap<string, number>, isUrgent: boolean): Promise<DrawOutcome> {
     let isLate = false
+    const startedAt = this.#options.clock.now()
     const request = { draws: [...draws].map(([account, tokens]) => ({ account, tokens })), isUrgent }
-    const answer = this.#whilePending(draws, this.#options.requestDraw(writer, request)).then((reply) => this.#recordReply(writer, reply, isLate))
+    const answer = this.#whilePending(draws, this.#options.requestDraw(writer, request)).then((reply) => {
+      if (reply?.isDone === true) this.#lastAnswersMs = [this.#lastAnswersMs[1], this.#options.clock.now() - startedAt]
+      return this.#recordReply(writer, reply, isLate)
+    })
+    const waitMs = isUrgent ? Math.min(Math.max(URGENT_DRAW_WAIT_MS, SLOW_ANSWER_FACTOR * Math.min(...this.#lastAnswersMs)), AHEAD_DRAW_WAIT_MS) : AHEAD_DRAW_WAIT_MS
     const timer = new AbortController()
-    const outcome = await Promise.race([answer, this.#options.clock.sleep(isUrgent ? URGENT_DRAW_WAIT_MS : AHEAD_DRAW_WAIT_MS, timer.signal).then(() => DrawOutcome.late)])
+    const outcome = await Promise.race([answer, this.#options.clock.sleep(waitMs, timer.signal).then(() => DrawOutcome.late)])
     timer.abort()
     if (outcome === DrawOutcome.late) {
       isLate = true
       if (!this.#failedWriters.has(writer)) this.#delayDirectDraws()
       this.#failedWriters.set(writer, this.#options.clock.now() + SILENT_WRITER_BACKOFF_MS)
+      this.#cutOffWriters.delete(writer)
     }
     return outcome
   }
@@ -190,9 +210,12 @@
     if (reply?.isDone !== true) {
       if (reply !== undefined && (isLate || !this.#failedWriters.has(writer))) this.#delayDirectDraws()
       this.#failedWriters.set(writer, clock.now() + (reply === undefined ? SILENT_WRITER_BACKOFF_MS : CUT_OFF_WRITER_BACKOFF_MS))
+      if (reply === undefined) this.#cutOffWriters.delete(writer)
+      else this.#cutOffWriters.add(writer)
       return DrawOutcome.failed
     }
     this.#failedWriters.delete(writer)
+    this.#cutOffWriters.delete(writer)
     for (const { account, tokens } of reply.drawn) pool.add(account, tokens)
     for (const { account, tokens } of reply.remaining) this.#reported.set(account, { remaining: tokens, asOf: clock.now() - reply.pageAgeMs })
     if (isLate) logger.info({ event: 'draw-late', peer: writer, drawn: reply.drawn })
@@ -216,8 +239,8 @@
     return this.#options.clock.now() < this.#directDrawAt
   }
 
-  #delayDirectDraws (): void {
-    this.#directDrawAt = this.#options.clock.now() + this.#options.random.integer(DIRECT_DRAW_MAXIMUM_DELAY_MS)
+  #delayDirectDraws (maximumDelayMs = DIRECT_DRAW_MAXIMUM_DELAY_MS): void {
+    this.#directDrawAt = this.#options.clock.now() + this.#options.random.integer(maximumDelayMs)
   }
 
   #isOwnPageNewer (reported: ReportedAccount): boolean {
--- a/packages/gateway/src/token-types.ts
+++ b/packages/gateway/src/token-types.ts
@@ -46,3 +46,11 @@
   /** Sends tokens that have left the pool to another gateway. */
   returnTokens: (peerAddress: string, account: string, tokens: number) => Promise<void>
 }
+
+/** How long a request waits for tokens beyond the time limit for acquiring them. */
+export interface Patience {
+  /** Longest time for which it waits for tokens that are under way, in milliseconds. */
+  underWayMs: number
+  /** Returns true if nobody waits for the request any more. */
+  isGone: () => boolean
+}
--- a/packages/gateway/test/token-fleet.ts
+++ b/packages/gateway/test/token-fleet.ts
@@ -121,7 +121,7 @@
       ...shared,
       page,
       selfAddress: this.#name,
-      policy: tokenAllocators.POOL_POLICY,
+      policy: fleet.policy,
       isFleetKnown: () => this.view.isFleetKnown(),
       isStoreReachable: () => this.view.isStoreReachable(),
       holders: (account) => this.view.holders(account),
@@ -220,7 +220,7 @@
 
 /** Tokens that a request reserves, and tokens that it spends. */
 const WORST_CASE_TOKENS = 3000
-const TRUE_TOKENS = 2600
+export const TRUE_TOKENS = 2600
 const REQUEST_DURATION_MS = 400
 
 /** A request of eight seconds on a route with an objective of two. */
@@ -239,14 +239,16 @@
   readonly totals: Record<string, number>
   readonly outcomes: Outcomes = { reserved: 0, unreachable: 0, exhausted: 0 }
   readonly size: number
+  readonly policy: decisions.tokenPool.PoolPolicy
   spent = 0
   gateways: FleetGateway[] = []
   readonly #requestsASecond: number
   readonly #random = new decisions.random.SeededRandom(7)
   #generation = 0
 
-  constructor (size: number, { largeAccounts, smallAccounts, requestsASecond, coveredSeconds }: TokenLoad) {
+  constructor (size: number, { largeAccounts, smallAccounts, requestsASecond, coveredSeconds }: TokenLoad, policy = tokenAllocators.POOL_POLICY) {
     this.size = size
+    this.policy = policy
     this.#requestsASecond = requestsASecond
     const weights = [...Array.from({ length: largeAccounts }, () => LARGE_WEIGHT), ...Array.from({ length: smallAccounts }, () => 1)]
     const sum = weights.reduce((left, right) => left + right, 0)
