Read ahead of slow callers, and end those that never read

Cause: a target was not read while its caller read slowly, so that one that cuts off unread answers ended the answer of a slow caller. A relay that waited for its caller did not hear the time limit, so a caller that never read was kept until it left; so was one whose answer was whole. Forwarded answers were sent from read buffers, which V8 frees late.

Change: CallerWriter sends from blocks of the pool and reads ahead while bodies and answers fill less than 0.3 of the room (0.15 for a caller that has read nothing for 2 s). The time limit ends an answer that is not whole; one that is whole is kept while its caller reads something every 10 s. Where connections are closed, an answer that can be continued goes first among the still ones and counts double among the others.

--- a/packages/decisions/src/memory-yielding.ts
+++ b/packages/decisions/src/memory-yielding.ts
@@ -21,6 +21,10 @@
 /** Largest part of the room that the answers to one connection may occupy before its caller reads them. */
 const CONNECTION_SHARE = 0.2
 
+/** Share of the room up to which answers are read ahead of their callers, and the same for a caller that has read nothing for long. */
+const READ_AHEAD_SHARE = 0.3
+const STILL_READ_AHEAD_SHARE = 0.15
+
 /** Memory that an answer occupies before it is passed on: what is held back of it, and as much in read buffers. In bytes. */
 const BUFFERED_ANSWER_BYTES = 512 * 1024
 
@@ -53,6 +57,8 @@
   bytes: number
   /** Time at which the caller last read, in clock milliseconds. */
   movedAt: number
+  /** The caller can have the answer continued on another connection. */
+  isResumable?: boolean
 }
 
 /** What becomes of a body: it is read on, it waits for room, or it is refused unrun and its memory freed. */
@@ -117,14 +123,15 @@
 
 /**
  * Returns the connections to close so that `excessBytes` become free: first those whose callers have read nothing for long, the stillest first,
- * then those that hold most.
+ * then those that hold most. An answer that can be continued goes before others that are still, and counts double among the rest.
  */
 export function answersToClose<Answers extends HeldAnswers> (holders: readonly Answers[], excessBytes: number, now: number): Answers[] {
   const still = stillHolders(holders, now)
-  const moving = holders.filter((holder) => !still.includes(holder)).sort((one, other) => other.bytes - one.bytes)
+  const moving = holders.filter((holder) => !still.includes(holder)).sort((one, other) => weight(other) - weight(one))
+  const inOrder = [...still.filter(isResumable), ...still.filter((holder) => !isResumable(holder)), ...moving]
   const closed: Answers[] = []
   let freedBytes = 0
-  for (const holder of [...still, ...moving]) {
+  for (const holder of inOrder) {
     if (freedBytes >= excessBytes) break
     freedBytes += holder.bytes
     closed.push(holder)
@@ -132,11 +139,25 @@
   return closed
 }
 
+/** Returns true if more of an answer may be read from its target while its caller has yet to read what `holder` keeps. */
+export function mayReadAhead (holder: HeldAnswers, heldBytes: number, capacityBytes: number, now: number): boolean {
+  const isStill = now - holder.movedAt > MAXIMUM_STILL_MS
+  return heldBytes <= capacityBytes * (isStill ? STILL_READ_AHEAD_SHARE : READ_AHEAD_SHARE)
+}
+
 /** Returns the bodies or answers that have not moved for long, the stillest first. */
 export function stillHolders<Holder extends HeldAnswers> (holders: readonly Holder[], now: number): Holder[] {
   return holders.filter((holder) => now - holder.movedAt > MAXIMUM_STILL_MS).sort((one, other) => one.movedAt - other.movedAt)
 }
 
+function isResumable (holder: HeldAnswers): boolean {
+  return holder.isResumable === true
+}
+
+function weight (holder: HeldAnswers): number {
+  return holder.bytes * (isResumable(holder) ? 2 : 1)
+}
+
 function socketDescriptors (maximumDescriptors: number): number {
   return maximumDescriptors - Math.min(FILE_DESCRIPTORS, maximumDescriptors / 2)
 }
--- a/packages/decisions/test/memory-yielding.test.ts
+++ b/packages/decisions/test/memory-yielding.test.ts
@@ -43,19 +43,34 @@
     })
   }
 
-  const closings: Array<{ name: string, holders: Array<[megabytes: number, movedAt: number]>, excessMegabytes: number, closed: number[] }> = [
+  const closings: Array<{ name: string, holders: Array<[megabytes: number, movedAt: number, isResumable?: boolean]>, excessMegabytes: number, closed: number[] }> = [
     { name: 'none where there is room', holders: [[9, 0]], excessMegabytes: 0, closed: [] },
     { name: 'the stillest first', holders: [[1, 3000], [1, 2000], [9, 9500]], excessMegabytes: 1, closed: [1] },
-    { name: 'then the one that holds most', holders: [[1, 3000], [3, 9000], [9, 9500]], excessMegabytes: 5, closed: [0, 2] }
+    { name: 'then the one that holds most', holders: [[1, 3000], [3, 9000], [9, 9500]], excessMegabytes: 5, closed: [0, 2] },
+    { name: 'of the still ones first those that can be continued', holders: [[1, 2000], [1, 3000, true], [9, 9500, true]], excessMegabytes: 2, closed: [1, 0] },
+    { name: 'a small one that can be continued stays where a large one goes', holders: [[5, 9000], [1, 9500, true]], excessMegabytes: 1, closed: [0] },
+    { name: 'one that can be continued goes before one that is a little larger', holders: [[5, 9000], [4, 9500, true]], excessMegabytes: 1, closed: [1] }
   ]
   for (const { name, holders, excessMegabytes, closed } of closings) {
     it(`closes connections with unread answers: ${name}`, () => {
-      const held = holders.map(([megabytes, movedAt]) => ({ bytes: megabytes * MEGABYTE, movedAt }))
+      const held = holders.map(([megabytes, movedAt, isResumable = false]) => ({ bytes: megabytes * MEGABYTE, movedAt, isResumable }))
       const result = memoryYielding.answersToClose(held, excessMegabytes * MEGABYTE, 10_000)
       expect(result.map((holder) => held.indexOf(holder))).to.deep.equal(closed)
     })
   }
 
+  const readAheads: Array<{ name: string, heldMegabytes: number, movedAt: number, isAllowed: boolean }> = [
+    { name: 'a caller that reads slowly, in calm', heldMegabytes: 12, movedAt: 9000, isAllowed: true },
+    { name: 'not where ordinary requests need the room', heldMegabytes: 13, movedAt: 9000, isAllowed: false },
+    { name: 'a caller that reads nothing, in calm', heldMegabytes: 6, movedAt: 0, isAllowed: true },
+    { name: 'not a caller that reads nothing, where others are read ahead', heldMegabytes: 7, movedAt: 0, isAllowed: false }
+  ]
+  for (const { name, heldMegabytes, movedAt, isAllowed } of readAheads) {
+    it(`reads ahead of ${name}`, () => {
+      expect(memoryYielding.mayReadAhead({ bytes: MEGABYTE, movedAt }, heldMegabytes * MEGABYTE, CAPACITY, 10_000)).to.equal(isAllowed)
+    })
+  }
+
   for (const { memoryMb, megabytes } of [{ memoryMb: 350, megabytes: 115 }, { memoryMb: 210, megabytes: 45 }, { memoryMb: 90, megabytes: 8 }]) {
     it(`a host of ${memoryMb} MB has room for ${megabytes} MB`, () => {
       expect(memoryYielding.bodyCapacity(memoryMb)).to.equal(megabytes * MEGABYTE)
--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -23,6 +23,7 @@
   readonly #race: answerRaces.AnswerRace
   readonly #send: answerRaces.SendInProgress
   #body = new runtime.byteBlocks.ByteBlocks(undefined)
+  readonly #writer: drain.CallerWriter
   #receivedBytes = 0
   #isForwarding = false
 
@@ -31,6 +32,7 @@
     this.#answer = answer
     this.#race = race
     this.#send = send
+    this.#writer = new drain.CallerWriter(call, send)
   }
 
   /** Relays until the target's answer ends, and ends the caller's response only if the answer is complete. */
@@ -48,7 +50,7 @@
         this.#send.recordProgress()
         this.#receivedBytes += (chunk as Buffer).length
         if (this.#receivedBytes > MAXIMUM_ANSWER_BYTES) return this.#interruptedOutcome('the answer is too large')
-        if (this.#isForwarding) await this.#forward(chunk as Buffer)
+        if (this.#isForwarding) await this.#writer.write(chunk as Buffer)
         else if (!await this.#buffer(chunk as Buffer)) return this.#notForwardedOutcome('the answer is too large')
       }
     } catch (error) {
@@ -66,21 +68,12 @@
     if (!this.#isForwardable || response.headersSent || response.destroyed || !this.#race.claim(this.#send)) return false
     this.#isForwarding = true
     response.writeHead(this.#answer.status, this.#answer.forwardedHeaders)
-    const { blocks } = this.#body
-    // The response may still send the blocks when this answer has ended, so they are not used again.
-    this.#body = new runtime.byteBlocks.ByteBlocks(undefined)
-    for (const block of blocks) await this.#forward(block)
+    // The writer keeps small blocks as they are, and copies large ones.
+    for (const block of this.#body.blocks) await this.#writer.write(block.length < runtime.blockPool.POOLED_BYTES ? Buffer.from(block) : block)
+    this.#body.release()
     return true
   }
 
-  async #forward (chunk: Buffer): Promise<void> {
-    const { response, heldAnswer } = this.#call
-    if (response.write(chunk)) return
-    heldAnswer.setBytes(response.writableLength)
-    await this.#send.waitForCaller(drain.waitForDrain(response))
-    heldAnswer.setBytes(0)
-  }
-
   #complete (): flows.SendOutcome {
     const { status, forwardedHeaders } = this.#answer
     if (this.#isForwarding) {
--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -12,6 +12,9 @@
 /** Time after which a connection is closed whose next request is overdue because it wasn't read, if it is read again, in milliseconds. */
 const OVERDUE_MS = 5000
 
+/** Time without reading after which a caller's connection is closed once the time limit of its request has passed, in milliseconds. */
+const UNREAD_MS = 10_000
+
 /** Why a caller's connection is closed. */
 export const CloseReason = { requestsAhead: 'requests-ahead', connections: 'connections', unreadAnswers: 'unread-answers', overdue: 'overdue' } as const
 export type CloseReason = typeof CloseReason[keyof typeof CloseReason]
@@ -129,7 +132,7 @@
 
   /** Returns a holding for the answer to one request on a connection. */
   holdAnswer (socket: net.Socket): HeldAnswer {
-    return new HeldAnswer(socket, this.#connections.get(socket)?.answers, (listener) => this.watchClose(socket, listener))
+    return new HeldAnswer(socket, this.#connections.get(socket)?.answers, (listener) => this.watchClose(socket, listener), () => { this.close(socket, CloseReason.unreadAnswers) })
   }
 
   close (socket: net.Socket, reason: CloseReason): void {
@@ -176,16 +179,44 @@
   readonly #answers: runtime.memoryAccount.AnswerHolding | undefined
   /** Calls a listener when the connection closes. Returns a function that ends this. */
   readonly watchClose: (listener: () => void) => () => void
+  readonly #closeConnection: () => void
   #bytes = 0
 
-  constructor (socket: net.Socket, answers: runtime.memoryAccount.AnswerHolding | undefined, watchClose: (listener: () => void) => () => void) {
+  constructor (socket: net.Socket, answers: runtime.memoryAccount.AnswerHolding | undefined, watchClose: (listener: () => void) => () => void, closeConnection: () => void) {
     this.#socket = socket
+    this.#closeConnection = closeConnection
     this.#answers = answers
     this.watchClose = watchClose
   }
 
-  setBytes (bytes: number): void {
+  /** The target may be read although the caller has yet to read what came before. */
+  get mayReadAhead (): boolean {
+    return this.#answers?.mayReadAhead === true
+  }
+
+  /** Closes the connection if its caller reads nothing of a complete answer for long, from the time limit of the request on. */
+  limitUnread (response: http.ServerResponse, remainingMs: number): void {
+    const socket = this.#socket
+    let sentBytes = -1
+    const check = (): void => {
+      const sentBefore = sentBytes
+      sentBytes = socket.bytesWritten - socket.writableLength
+      if (socket.writableLength > 0 && sentBytes === sentBefore) this.#closeConnection()
+      else timer = setTimeout(check, UNREAD_MS)
+    }
+    let timer = setTimeout(check, Math.max(0, remainingMs))
+    const stop = (): void => { clearTimeout(timer) }
+    const endWatch = this.watchClose(stop)
+    response.on('finish', () => {
+      stop()
+      endWatch()
+    })
+  }
+
+  /** `isResumable` says that the caller can have the answer continued on another connection. */
+  setBytes (bytes: number, isResumable = false): void {
     if (this.#socket.destroyed) return
+    if (this.#answers !== undefined && bytes > 0) this.#answers.isResumable = isResumable
     const added = bytes - this.#bytes
     this.#bytes = bytes
     this.#answers?.add(added)
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -312,6 +312,7 @@
     } else {
       heldAnswer.setBytes(response.writableLength)
       response.on('finish', () => { heldAnswer.setBytes(0) })
+      heldAnswer.limitUnread(response, deadlineAt - this.#options.clock.now())
     }
   }
 
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -20,6 +20,7 @@
   readonly #race: answerRaces.AnswerRace
   readonly #send: answerRaces.SendInProgress
   readonly #clock: decisions.clock.Clock
+  readonly #writer: drain.CallerWriter
   readonly #onFirstEvent: () => void
   readonly #splitter = new runtime.eventSplitter.EventSplitter(MAXIMUM_EVENT_BYTES)
 
@@ -28,6 +29,7 @@
     this.#answer = answer
     this.#race = race
     this.#send = send
+    this.#writer = new drain.CallerWriter(call, send)
     this.#clock = clock
     this.#onFirstEvent = onFirstEvent
   }
@@ -59,12 +61,7 @@
       this.#call.events += 1
       if (event.id !== undefined) this.#call.lastEventId = event.id
     }
-    const { response } = this.#call
-    const hasRoom = response.write(events.length === 1 ? events[0].bytes : Buffer.concat(events.map((event) => event.bytes)))
-    if (hasRoom) return true
-    this.#call.heldAnswer.setBytes(response.writableLength)
-    await this.#send.waitForCaller(drain.waitForDrain(response))
-    this.#call.heldAnswer.setBytes(0)
+    await this.#writer.write(events.length === 1 ? events[0].bytes : Buffer.concat(events.map((event) => event.bytes)))
     return true
   }
 
--- a/packages/runtime/src/block-pool.ts
+++ b/packages/runtime/src/block-pool.ts
@@ -1,6 +1,11 @@
+import type * as http from 'node:http'
+
 /** Size of a block, in bytes. */
 export const BLOCK_BYTES = 64 * 1024
 
+/** Size from which bytes get a block, in bytes. */
+export const POOLED_BYTES = BLOCK_BYTES / 2
+
 /** Interval at which blocks that nobody has used are let go, in milliseconds. */
 const TRIM_INTERVAL_MS = 1000
 
@@ -34,6 +39,23 @@
     this.#timer.unref()
   }
 
+  /** Writes bytes to a message through blocks, of which `onSent` tells each that has been sent. Returns false if the message wants no more for now. */
+  write (message: http.OutgoingMessage, bytes: Buffer, onSent: () => void): boolean {
+    if (bytes.length < POOLED_BYTES) return message.write(bytes, onSent)
+    let hasRoom = true
+    for (let position = 0; position < bytes.length; position += BLOCK_BYTES) {
+      const block = this.take()
+      let isUsed = true
+      const copied = bytes.copy(block, 0, position)
+      hasRoom = message.write(block.subarray(0, copied), () => {
+        if (isUsed) this.give([block])
+        isUsed = false
+        onSent()
+      })
+    }
+    return hasRoom
+  }
+
   #trim (): void {
     this.#free.length -= Math.ceil(this.#fewestFree / 2)
     this.#fewestFree = this.#free.length
@@ -42,3 +64,6 @@
     this.#timer = undefined
   }
 }
+
+/** The blocks of this process. */
+export const processPool = new BlockPool()
--- a/packages/runtime/src/byte-blocks.ts
+++ b/packages/runtime/src/byte-blocks.ts
@@ -1,16 +1,11 @@
 import type * as http from 'node:http'
 import * as blockPools from './block-pool.js'
 
-const { BLOCK_BYTES } = blockPools
+const { BLOCK_BYTES, POOLED_BYTES, processPool } = blockPools
 
 /** Least size of the first block, in bytes. A body may stand still after its first byte, so its announced length is not set aside. */
 const FIRST_BLOCK_BYTES = 4 * 1024
 
-/** Size from which a block is taken from the pool, in bytes. */
-const POOLED_BYTES = BLOCK_BYTES / 2
-
-const processPool = new blockPools.BlockPool()
-
 /**
  * Bytes that arrive in chunks and are gathered in blocks, since a chunk may be of a byte and costs an object each. They are sent on
  * block by block: joining them would take their size once more.
--- a/packages/runtime/src/memory-account.ts
+++ b/packages/runtime/src/memory-account.ts
@@ -64,6 +64,7 @@
   readonly close: () => void
   bytes = 0
   movedAt = 0
+  isResumable = false
 
   /** `close` closes the connection, which must release the bytes in time. */
   constructor (account: MemoryAccount, close: () => void) {
@@ -71,6 +72,11 @@
     this.close = close
   }
 
+  /** More of the answer may be read from the target before the caller reads what waits. */
+  get mayReadAhead (): boolean {
+    return this.#account.mayReadAhead(this)
+  }
+
   /** Adds bytes that wait, or takes away those that the caller has read. */
   add (bytes: number): void {
     if (bytes !== 0) this.#account.addAnswerBytes(this, bytes)
@@ -128,6 +134,11 @@
     return new AnswerHolding(this, close)
   }
 
+  mayReadAhead (answers: AnswerHolding): boolean {
+    const { clock, capacityBytes } = this.#options
+    return decisions.memoryYielding.mayReadAhead(answers, this.#heldBytes, capacityBytes, clock.now())
+  }
+
   addAnswerBytes (answers: AnswerHolding, bytes: number): void {
     if (bytes < 0 || answers.bytes === 0) answers.movedAt = this.#options.clock.now()
     answers.bytes += bytes
