--- a/packages/decisions/src/agreement-changes.ts
+++ b/packages/decisions/src/agreement-changes.ts
@@ -17,6 +17,9 @@
 const MAXIMUM_VERSIONS = 4
 const MAXIMUM_CHANGES = 64
 
+/** Fields of a route that decide how a request is handled, besides its shares. The others decide only how soon. */
+const HANDLING_FIELDS = ['repetition', 'streaming', 'resumable', 'timeoutMs', 'maximumTargets', 'anonymous'] as const
+
 /** Remembers what the latest versions of the agreement have changed. */
 export class ChangeHistory {
   /** In ascending order of versions, so the first has all changes. */
@@ -56,21 +59,34 @@
 
 function changedRoutes (previous: routeTables.RouteTable, next: routeTables.RouteTable): types.Route[] {
   const changedServices = new Set(previous.agreement.services.filter((service) => !isSame(service, next.service(service.name))).map(({ name }) => name))
-  // Of two routes for the same requests, the first counts.
-  const successors = new Map([...next.agreement.routes].reverse().map((route) => [areaOf(route), route]))
-  const changed = previous.agreement.routes.filter((route) => {
-    const successor = successors.get(areaOf(route))
-    return successor === undefined || !isSame(handlingOf(route), handlingOf(successor)) || route.shares.some(({ service }) => changedServices.has(service))
-  })
-  const previousAreas = new Set(previous.agreement.routes.map(areaOf))
-  // A new route takes requests from the one with a shorter prefix.
-  const shadowed = next.agreement.routes.filter((route) => !previousAreas.has(areaOf(route))).map((route) => previous.match(route.host, route.pathPrefix))
-  return [...changed, ...shadowed.filter((route) => route !== undefined)]
+  const successors = routesByArea(next)
+  const predecessors = routesByArea(previous)
+  const changed: types.Route[] = []
+  for (const [area, route] of predecessors) {
+    const successor = successors.get(area)
+    if (successor === undefined || !isHandledAlike(route, successor) || route.shares.some(({ service }) => changedServices.has(service))) changed.push(route)
+  }
+  for (const [area, route] of successors) {
+    // A new route takes requests from the one with a shorter prefix.
+    const shadowed = predecessors.has(area) ? undefined : previous.match(route.host, route.pathPrefix)
+    if (shadowed !== undefined) changed.push(shadowed)
+  }
+  return changed
+}
+
+/** Of two routes for the same requests, the first counts. */
+function routesByArea ({ agreement }: routeTables.RouteTable): Map<string, types.Route> {
+  const routes = new Map<string, types.Route>()
+  for (const route of agreement.routes) {
+    const area = areaOf(route)
+    if (!routes.has(area)) routes.set(area, route)
+  }
+  return routes
 }
 
-/** Returns what decides how a request is handled. The other fields decide only how soon. */
-function handlingOf ({ repetition, streaming, resumable, timeoutMs, maximumTargets, anonymous, shares }: types.Route): object {
-  return { repetition, streaming, resumable, timeoutMs, maximumTargets, anonymous, shares: shares.map(({ service, weight }) => [service, weight]) }
+function isHandledAlike (route: types.Route, successor: types.Route): boolean {
+  if (HANDLING_FIELDS.some((field) => route[field] !== successor[field]) || route.shares.length !== successor.shares.length) return false
+  return route.shares.every(({ service, weight }, index) => service === successor.shares[index].service && weight === successor.shares[index].weight)
 }
 
 function changedKeys (previous: routeTables.RouteTable, next: routeTables.RouteTable): string[] {
