Pause connections earlier, for shorter, and only after requests have been late for a while

Change: threshold a fifth of the tightest objective, pauses of 50 to 100 ms, open for 50 ms at least; the first pause only after 100 ms of late requests, and one long delay counts four thresholds at the most.

--- a/packages/decisions/src/connection-admission.ts
+++ b/packages/decisions/src/connection-admission.ts
@@ -1,12 +1,18 @@
 /** Share of the tightest latency objective that requests wait to be read at which a host has no time for more connections. */
-const SATURATED_SHARE = 0.4
+const SATURATED_SHARE = 0.2
 
 /** Read delay at which a host without objectives has no time for more connections, in milliseconds. */
-const DEFAULT_SATURATED_MS = 200
+const DEFAULT_SATURATED_MS = 100
+
+/** Time for which requests have to be read late without a gap before the first pause, in milliseconds. A single step may hold up an idle host. */
+const PATIENCE_MS = 100
+
+/** Most that one read delay counts, as a multiple of the threshold, so that a single long one is soon forgotten. */
+const COUNTED_THRESHOLDS = 4
 
 /** Shortest and longest time for which no connections are taken, in milliseconds. A caller's second try, a moment later, shall find the host open. */
 const MINIMUM_PAUSE_MS = 50
-const MAXIMUM_PAUSE_MS = 200
+const MAXIMUM_PAUSE_MS = 100
 
 /** Factor by which a pause is longer than the one before it, if the host is saturated as soon as connections are taken again. */
 const PAUSE_GROWTH = 1.5
@@ -42,8 +48,9 @@
   others: () => readonly OtherHost[]
 }
 
-/** What the host was like when it stopped taking connections, or since. */
+/** A time in which the host takes no connections for moments. */
 export interface Saturation {
+  /** Time for which the last request before the first pause had waited to be read, in milliseconds. */
   readDelayMs: number
   /** Mean load of the other hosts. */
   othersLoad: number
@@ -55,14 +62,15 @@
 
 /**
  * Decides when a host that has too little processor time takes no new connections for a moment. Answers the load pattern of callers that keep
- * to one of many hosts: their requests wait there unread, while the others idle. A connection that is refused costs that host nothing,
- * and its caller tries another one at once. Times are monotonic milliseconds.
+ * to one of many hosts: their requests wait there unread until nobody waits for the answer, while the others idle. A connection that is refused costs
+ * that host no time, and its caller knows at once. Times are monotonic milliseconds.
  */
 export class ConnectionAdmission {
   readonly #options: ConnectionAdmissionOptions
   /** Mean of the latest read delays by the time that they cover. */
   #readDelayMs = 0
   #measuredAt = -Infinity
+  #lateSince: number | undefined
   #pauseMs = 0
   #openAt = -Infinity
   #lookedUpAt = -Infinity
@@ -84,10 +92,15 @@
    */
   recordReadDelay (readDelayMs: number, now: number): number {
     this.#smooth(readDelayMs, now)
-    if (this.#readDelayMs < this.#saturatedMs() || now < this.#openAt + Math.max(MINIMUM_OPEN_MS, this.#pauseMs)) return 0
+    if (this.#readDelayMs < this.#saturatedMs()) {
+      this.#lateSince = undefined
+      return 0
+    }
+    this.#lateSince ??= now
+    if (now < (this.#saturation === undefined ? this.#lateSince + PATIENCE_MS : this.#openAt + MINIMUM_OPEN_MS)) return 0
     const othersLoad = this.#lookUpOthers(now)
     if (othersLoad === undefined || othersLoad > MAXIMUM_OTHERS_LOAD) return 0
-    return this.#pause(othersLoad, now)
+    return this.#pause({ readDelayMs, othersLoad }, now)
   }
 
   /** Returns the saturation that has ended by now, once; undefined if there is none. */
@@ -104,15 +117,16 @@
   }
 
   #smooth (readDelayMs: number, now: number): void {
-    const weight = 1 - Math.exp(-(now - this.#measuredAt) / this.#saturatedMs())
+    const saturatedMs = this.#saturatedMs()
+    const weight = 1 - Math.exp(-(now - this.#measuredAt) / saturatedMs)
     this.#measuredAt = now
-    this.#readDelayMs += weight * (readDelayMs - this.#readDelayMs)
+    this.#readDelayMs += weight * (Math.min(readDelayMs, COUNTED_THRESHOLDS * saturatedMs) - this.#readDelayMs)
   }
 
-  #pause (othersLoad: number, now: number): number {
+  #pause (cause: Pick<Saturation, 'readDelayMs' | 'othersLoad'>, now: number): number {
     this.#pauseMs = now - this.#openAt < RECOVERY_MS ? Math.min(MAXIMUM_PAUSE_MS, this.#pauseMs * PAUSE_GROWTH) : MINIMUM_PAUSE_MS
     this.#openAt = now + this.#pauseMs
-    this.#saturation ??= { readDelayMs: this.#readDelayMs, othersLoad, pauses: 0, pausedMs: 0, startedAt: now }
+    this.#saturation ??= { ...cause, pauses: 0, pausedMs: 0, startedAt: now }
     this.#saturation.pauses += 1
     this.#saturation.pausedMs += this.#pauseMs
     return this.#pauseMs
--- a/packages/runtime/test/pausable-listener.test.ts
+++ b/packages/runtime/test/pausable-listener.test.ts
@@ -71,8 +71,11 @@
     socket.on('data', () => {}).on('error', () => {}).on('close', () => { isClosed = true })
     await sleep(30)
     const pauses = setInterval(() => { listener.pause(10) }, 50)
-    await until(async () => isClosed)
-    clearInterval(pauses)
+    try {
+      await until(async () => isClosed)
+    } finally {
+      clearInterval(pauses)
+    }
   })
 })
 
