Refuse an unknown key on a route for everybody while a newer agreement may know it

Found by a review: a gateway without the newer agreement took a request with a new key on an anonymous route for one without an account, so that the target got no account name. The test was red before (false instead of true).

--- a/packages/decisions/src/outdated-agreement.ts
+++ b/packages/decisions/src/outdated-agreement.ts
@@ -54,8 +54,9 @@
     const { version } = table.agreement
     if (!this.#isOutdated(version, now)) return false
     if (route === undefined) return true
-    const needsKey = table.agreement.accounts !== undefined && !route.anonymous
-    if (needsKey && (key === undefined || table.accountOfKey(key) === undefined)) return true
+    const hasAccounts = table.agreement.accounts !== undefined
+    const isAccountUnknown = key === undefined ? !route.anonymous : table.accountOfKey(key) === undefined
+    if (hasAccounts && isAccountUnknown) return true
     return this.#reportsSince(version, now).every((report) => changes.isAffected(report.changes, route, key))
   }
 
--- a/packages/decisions/test/outdated-agreement.test.ts
+++ b/packages/decisions/test/outdated-agreement.test.ts
@@ -78,6 +78,15 @@
     })
   }
 
+  it('does not handle a key on a route for everybody that only the new one may know', () => {
+    const open = { ...otherRoute, anonymous: true }
+    const withOpen = { ...old, routes: [route, open] }
+    const agreement = new outdated.OutdatedAgreement(APPLY_MS)
+    agreement.recordReport(8, 0, changesOf(withOpen, { ...withOpen, version: 8 }), 0)
+    const isRefused = (key: string | undefined): boolean => agreement.isFor(new routeTables.RouteTable(withOpen), open, key, APPLY_MS)
+    expect([isRefused('new-key'), isRefused('key-1'), isRefused(undefined)]).to.deep.equal([true, false, false])
+  })
+
   it('remembers a bounded number of versions and changes', () => {
     const manyRoutes = Array.from({ length: 100 }, (_, index) => ({ ...route, pathPrefix: `/plan-${index}/` }))
     expect(changesOf({ ...old, routes: manyRoutes }, { ...old, version: 8 })).to.deep.equal({ sinceVersions: [], hashes: [] })
