Draw only what is needed while a page writer that was cut off answers late

Found by a review: the gateway asked such a writer once more and, as it took long, drew the whole level on its own way too; 200 tokens came where 110 were asked for (test, red before). Nothing was overspent, but the level was held twice.

--- a/packages/gateway/src/token-page-access.ts
+++ b/packages/gateway/src/token-page-access.ts
@@ -128,7 +128,11 @@
     }
     if (writer !== undefined && this.#isDirectDrawBackingOff()) return pageClients.PageResult.unreachable
     // A writer that was cut off may reach the store again by now, and knows the newest revision.
-    if (writer !== undefined && !isAsked && this.#cutOffWriters.has(writer) && await this.#drawThrough(writer, draws, true) === DrawOutcome.done) return pageClients.PageResult.changed
+    if (writer !== undefined && !isAsked && this.#cutOffWriters.has(writer)) {
+      const outcome = await this.#drawThrough(writer, draws, true)
+      if (outcome === DrawOutcome.done) return pageClients.PageResult.changed
+      isAnswerLate = outcome === DrawOutcome.late
+    }
     const result = await this.#drawDirectly(isAnswerLate ? needed : draws, true)
     if (result === pageClients.PageResult.unreachable && writer !== undefined) this.#delayDirectDraws(FAILED_DIRECT_DRAW_MAXIMUM_DELAY_MS)
     return result
--- a/packages/gateway/test/token-page-access.test.ts
+++ b/packages/gateway/test/token-page-access.test.ts
@@ -26,6 +26,8 @@
   readonly gateways: pageAccesses.TokenPageAccess[] = []
   writerState: WriterState = WriterState.answering
   drawRequests = 0
+  /** Time that the page writer's answers take, in milliseconds. */
+  answerMs = 0
 
   constructor (size: number) {
     for (let index = 0; index < size; index++) this.#addGateway(index)
@@ -71,7 +73,9 @@
     this.drawRequests += 1
     if (this.writerState === WriterState.silent) return undefined
     if (this.writerState === WriterState.cutOff) return { isDone: false, drawn: [], remaining: [], pageAgeMs: 0 }
-    return await this.gateways[0].drawForOther(request)
+    const reply = await this.gateways[0].drawForOther(request)
+    if (this.answerMs > 0) await this.clock.sleep(this.answerMs)
+    return reply
   }
 }
 
@@ -112,6 +116,22 @@
     expect(fleet.drawn).to.equal(0)
   })
 
+  it('draws only what is needed on another way while a page writer that was cut off answers late', async () => {
+    const fleet = new DrawingFleet(2)
+    fleet.writerState = WriterState.cutOff
+    fleet.store.isDown = true
+    await Promise.race([fleet.gateways[1].draw(depot(100), depot(10)), fleet.clock.runUntil(20)])
+    fleet.store.isDown = false
+    fleet.writerState = WriterState.answering
+    fleet.answerMs = 600
+    await fleet.clock.runUntil(900)
+    fleet.writerState = WriterState.cutOff
+    await Promise.race([fleet.gateways[1].draw(depot(0)), fleet.clock.runUntil(950)])
+    fleet.writerState = WriterState.answering
+    await fleet.settle(fleet.gateways[1].draw(depot(100), depot(10)))
+    expect(fleet.pools[1].freeTokens('depot')).to.equal(110)
+  })
+
   it('does not ask a silent page writer again at once', async () => {
     const fleet = new DrawingFleet(2)
     fleet.writerState = WriterState.silent
