--- a/packages/gateway/test/token-page-access.test.ts
+++ b/packages/gateway/test/token-page-access.test.ts
@@ -29,8 +29,8 @@
   /** Time that the page writer's answers take, in milliseconds. */
   answerMs = 0
 
-  constructor (size: number) {
-    for (let index = 0; index < size; index++) this.#addGateway(index)
+  constructor (size: number, random?: decisions.random.RandomSource) {
+    for (let index = 0; index < size; index++) this.#addGateway(index, random ?? new decisions.random.SeededRandom(index))
   }
 
   get drawn (): number {
@@ -48,9 +48,9 @@
     return await settled
   }
 
-  #addGateway (index: number): void {
+  #addGateway (index: number, random: decisions.random.RandomSource): void {
     const pool = new decisions.tokenPool.TokenPool()
-    const shared = { clock: this.clock, logger: runtime.logging.createLogger('silent'), random: new decisions.random.SeededRandom(index) }
+    const shared = { clock: this.clock, logger: runtime.logging.createLogger('silent'), random }
     const pageClient = new tokenPageClients.TokenPageClient({
       knowledge: stores.completeKnowledge,
       ...shared,
@@ -117,7 +117,7 @@
   })
 
   it('draws only what is needed on another way while a page writer that was cut off answers late', async () => {
-    const fleet = new DrawingFleet(2)
+    const fleet = new DrawingFleet(2, { integer: () => 0 })
     fleet.writerState = WriterState.cutOff
     fleet.store.isDown = true
     await Promise.race([fleet.gateways[1].draw(depot(100), depot(10)), fleet.clock.runUntil(20)])
