Announce a new agreement from the store to all gateways at once

Found by a review: a gateway that got the agreement from another one counts its age anew, so that in a fleet of hundreds gateways that can't fetch it begin to refuse too late.

--- a/packages/gateway/src/configuration-watch.ts
+++ b/packages/gateway/src/configuration-watch.ts
@@ -9,13 +9,13 @@
 
 /** Keeps the newest agreement (the operators' configuration) from the store or from another gateway. Its version never decreases. */
 export class ConfigurationWatch extends watches.ObjectWatch {
-  readonly #onAgreement: (table: decisions.routeTable.RouteTable) => void
+  readonly #onAgreement: (table: decisions.routeTable.RouteTable, source: AgreementSource) => void
   readonly #clock: decisions.clock.Clock
   readonly #history = new decisions.agreementChanges.ChangeHistory()
   #table: decisions.routeTable.RouteTable | undefined
   #inForceSince = -Infinity
 
-  constructor (options: Omit<watches.ObjectWatchOptions, 'kind'>, onAgreement: (table: decisions.routeTable.RouteTable) => void) {
+  constructor (options: Omit<watches.ObjectWatchOptions, 'kind'>, onAgreement: (table: decisions.routeTable.RouteTable, source: AgreementSource) => void) {
     super({ ...options, kind: adapter.objectKinds.ObjectKind.configuration })
     this.#clock = options.clock
     this.#onAgreement = onAgreement
@@ -45,7 +45,7 @@
     if (this.#table !== undefined) this.#history.record(this.#table, table)
     this.#table = table
     this.#inForceSince = this.#clock.now()
-    this.#onAgreement(this.#table)
+    this.#onAgreement(this.#table, source)
   }
 
   protected override applyList (objects: platform.objectStore.StoreObject[]): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -142,7 +142,7 @@
     this.#loadMeter = new loads.LoadMeter(this.#clock, options.settings.processorShare)
     const pauseMs = (): number => this.#fleetExchange.hasWatchDuty() ? 0 : WATCH_DUTY_CHECK_INTERVAL_MS
     const watchOptions = { store: this.#store, clock: this.#clock, logger: this.#logger, pauseMs }
-    this.#configurationWatch = new configurations.ConfigurationWatch(watchOptions, (table) => { this.#applyAgreement(table) })
+    this.#configurationWatch = new configurations.ConfigurationWatch(watchOptions, (table, source) => { this.#applyAgreement(table, source) })
     this.#targetWatch = new targetWatches.TargetWatch(watchOptions, this.#targetBoard, this.#coldTargets)
     this.#evacuationWatch = new evacuationWatches.EvacuationWatch({
       ...watchOptions,
@@ -292,9 +292,11 @@
     void this.#peerTask.announceSoon()
   }
 
-  #applyAgreement (table: decisions.routeTable.RouteTable): void {
+  /** Puts an agreement in force. Tells all gateways at once of one from the store: those that hear of it from others learn too late since when it holds. */
+  #applyAgreement (table: decisions.routeTable.RouteTable, source: configurations.AgreementSource): void {
     this.#fleetExchange.confirmAgreement(this.#clock.now())
     this.#callerServer.applyLimits(table.agreement.limits)
+    if (source === configurations.AgreementSource.store) void this.#peerTask.announceSoon()
   }
 
   #prepaidTotals (): tokenPageClients.PrepaidTotals | undefined {
