Take a connection before the next pause, and pause only where there is more load than elsewhere

Found by a review (trials with the real parts, loop held for 80 of 100 ms): the port opens in a timer that is late on a slow host, so the next late request shut it again before any connection was accepted; none was taken for 8 s. A pause now begins after the connections that the event loop has found, and the next one only 50 ms after a connection has been taken. A host that reads late although it has no more load than the others is held up by something else, and keeps taking connections.

--- a/packages/decisions/src/connection-admission.ts
+++ b/packages/decisions/src/connection-admission.ts
@@ -44,6 +44,8 @@
   availabilityZone: string
   /** Tightest latency objective of what callers may ask for, in milliseconds; undefined if there is none. */
   objectiveMs: () => number | undefined
+  /** Processor load of this host. */
+  ownLoad: () => number
   /** Other hosts that take connections now. */
   others: () => readonly OtherHost[]
 }
@@ -72,7 +74,10 @@
   #measuredAt = -Infinity
   #lateSince: number | undefined
   #pauseMs = 0
-  #openAt = -Infinity
+  /** Time at which the last pause was to end. */
+  #pausedUntil = -Infinity
+  /** Time at which the first connection since the last pause was taken; undefined before. A slow host takes the next one later than it opens its port. */
+  #takenAt: number | undefined = -Infinity
   #lookedUpAt = -Infinity
   #othersLoad: number | undefined
   #saturation: Saturation | undefined
@@ -97,16 +102,22 @@
       return 0
     }
     this.#lateSince ??= now
-    if (now < (this.#saturation === undefined ? this.#lateSince + PATIENCE_MS : this.#openAt + MINIMUM_OPEN_MS)) return 0
+    if (this.#takenAt === undefined || now < this.#takenAt + MINIMUM_OPEN_MS) return 0
+    if (this.#saturation === undefined && now < this.#lateSince + PATIENCE_MS) return 0
     const othersLoad = this.#lookUpOthers(now)
-    if (othersLoad === undefined || othersLoad > MAXIMUM_OTHERS_LOAD) return 0
+    if (othersLoad === undefined || othersLoad > MAXIMUM_OTHERS_LOAD || othersLoad >= this.#options.ownLoad()) return 0
     return this.#pause({ readDelayMs, othersLoad }, now)
   }
 
+  /** Call it for each new connection that is taken after a pause has begun. */
+  recordConnection (now: number): void {
+    this.#takenAt ??= now
+  }
+
   /** Returns the saturation that has ended by now, once; undefined if there is none. */
   takeEnded (now: number): Saturation | undefined {
     const ended = this.#saturation
-    if (ended === undefined || now < this.#openAt + END_MS) return undefined
+    if (ended === undefined || now < this.#pausedUntil + END_MS) return undefined
     this.#saturation = undefined
     return ended
   }
@@ -124,8 +135,9 @@
   }
 
   #pause (cause: Pick<Saturation, 'readDelayMs' | 'othersLoad'>, now: number): number {
-    this.#pauseMs = now - this.#openAt < RECOVERY_MS ? Math.min(MAXIMUM_PAUSE_MS, this.#pauseMs * PAUSE_GROWTH) : MINIMUM_PAUSE_MS
-    this.#openAt = now + this.#pauseMs
+    this.#pauseMs = now - this.#pausedUntil < RECOVERY_MS ? Math.min(MAXIMUM_PAUSE_MS, this.#pauseMs * PAUSE_GROWTH) : MINIMUM_PAUSE_MS
+    this.#pausedUntil = now + this.#pauseMs
+    this.#takenAt = undefined
     this.#saturation ??= { ...cause, pauses: 0, pausedMs: 0, startedAt: now }
     this.#saturation.pauses += 1
     this.#saturation.pausedMs += this.#pauseMs
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -89,6 +89,7 @@
     this.#server.on('connection', (socket) => {
       this.#connections.add(socket)
       this.#queue.recordConnection()
+      this.#gate.recordConnection()
       this.#progress.trackConnection(socket)
     })
   }
--- a/packages/gateway/src/connection-gate.ts
+++ b/packages/gateway/src/connection-gate.ts
@@ -20,6 +20,7 @@
   readonly #listener: runtime.reopenListener.PausableListener
   #endCheck: NodeJS.Timeout | undefined
   #staysOpen = false
+  #isPauseDue = false
 
   constructor (options: ConnectionGateOptions, listener: runtime.reopenListener.PausableListener) {
     this.#options = options
@@ -31,11 +32,21 @@
     if (this.#staysOpen) return
     const pauseMs = this.#options.admission.recordReadDelay(readDelayMs, this.#options.clock.now())
     if (pauseMs === 0) return
-    this.#listener.pause(pauseMs)
+    this.#isPauseDue = true
+    // Connections that the event loop has found with this request are still taken.
+    setImmediate(() => {
+      this.#isPauseDue = false
+      if (!this.#staysOpen) this.#listener.pause(pauseMs)
+    })
     this.#options.metrics.countConnectionPause(pauseMs / 1000)
     if (this.#endCheck === undefined) this.#recordStart()
   }
 
+  /** Call it for each new connection. */
+  recordConnection (): void {
+    if (!this.#isPauseDue) this.#options.admission.recordConnection(this.#options.clock.now())
+  }
+
   /** Takes connections from now on, however little time there is. */
   stayOpen (): void {
     this.#staysOpen = true
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -442,6 +442,7 @@
       connectionAdmission: new decisions.connectionAdmission.ConnectionAdmission({
         availabilityZone: this.#settings.availabilityZone,
         objectiveMs: () => this.#configurationWatch.routeTable?.tightestObjectiveMs,
+        ownLoad: () => this.#loadMeter.load(),
         others: () => this.#fleetView.servingGateways()
       }),
       memoryMb: this.#settings.memoryMb,
