Let a request go while slots are known to be free, and offer room that a waiting request does not take

Found by a review: with 91 and 400 gateways one fresh report of a hot gateway was taken for a sample of all, so that its account was refused while 45 of 100 slots were free; and requests at targets of an evacuated zone filled the other zones' slots. What the board knows to be free decides now. A request that was woken and is refused passes the turn on, and one that woke by its own timer does not, so that waiting requests are not judged in chains.

--- a/packages/decisions/src/service-room.ts
+++ b/packages/decisions/src/service-room.ts
@@ -180,7 +180,8 @@
   /** Returns what to do with a request now. `jitter` is from 0 to 1. A request that may have run already must not ask. */
   judge (request: RoomRequest, known: ServiceLoad, now: number, jitter: number): RoomVerdict {
     const load = this.#withReported(request.service, known)
-    if (load.slots <= 0 || load.requests + 1 <= load.slots || !(request.objectiveMs > 0)) return { kind: 'go' }
+    // Reports are a sample in a large fleet, and count requests at targets that take no new ones. The room that is known to be free decides.
+    if (load.slots <= 0 || known.requests + 1 <= known.slots || !(request.objectiveMs > 0)) return { kind: 'go' }
     const { demands, lessUrgent, reportAgeMs } = this.#demands(request)
     const slotMs = Math.max(1, this.#slotMs.get(request.service) ?? ASSUMED_SLOT_MS)
     const patienceMs = request.objectiveMs * WAIT_SHARE
--- a/packages/gateway/src/connection-slots.ts
+++ b/packages/gateway/src/connection-slots.ts
@@ -8,28 +8,29 @@
 export class WaitingTurn {
   readonly rank: number
   readonly account: string
-  #wake: () => void = () => {}
+  #wake: (isRoomFree: boolean) => void = () => {}
 
   constructor (rank: number, account: string) {
     this.rank = rank
     this.account = account
   }
 
-  /** Resolves when it is this request's turn, at the latest after `maximumMs`, or when the signal aborts. */
-  async next (maximumMs: number, signal: AbortSignal): Promise<void> {
-    await new Promise<void>((resolve) => {
-      this.#wake = () => {
+  /** Resolves when it is this request's turn, with true, or with false after `maximumMs`, or when the signal aborts. */
+  async next (maximumMs: number, signal: AbortSignal): Promise<boolean> {
+    return await new Promise<boolean>((resolve) => {
+      const giveUp = (): void => { this.#wake(false) }
+      this.#wake = (isRoomFree) => {
         clearTimeout(timer)
-        signal.removeEventListener('abort', this.#wake)
-        resolve()
+        signal.removeEventListener('abort', giveUp)
+        resolve(isRoomFree)
       }
-      const timer = setTimeout(() => { this.#wake() }, maximumMs)
-      signal.addEventListener('abort', this.#wake)
+      const timer = setTimeout(giveUp, maximumMs)
+      signal.addEventListener('abort', giveUp)
     })
   }
 
   wake (): void {
-    this.#wake()
+    this.#wake(true)
   }
 }
 
--- a/packages/gateway/src/room-queue.ts
+++ b/packages/gateway/src/room-queue.ts
@@ -51,12 +51,13 @@
     try {
       for (;;) {
         const stopWaiting = room.wait(call.service, accountOf(call), call.rank)
-        await turn.next(Math.min(ROOM_CHECK_INTERVAL_MS, startedAt + maximumMs - clock.now()), call.abortController.signal)
+        const isRoomFree = await turn.next(Math.min(ROOM_CHECK_INTERVAL_MS, startedAt + maximumMs - clock.now()), call.abortController.signal)
         stopWaiting()
         const verdict = this.#judge(call)
         const isOver = call.abortReason !== undefined || clock.now() >= startedAt + maximumMs
+        // Room that this request does not take is offered to the one behind it.
+        if (isRoomFree && verdict.kind !== 'go') slots.passOn(call.service, turn)
         if (verdict.kind !== 'wait' || isOver) return verdict
-        slots.passOn(call.service, turn)
       }
     } finally {
       slots.leaveQueue(call.service, turn)
