--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -1,5 +1,5 @@
 import * as decisions from '@acaciaweir/decisions'
-import type * as runtime from '@acaciaweir/runtime'
+import * as runtime from '@acaciaweir/runtime'
 import type * as http from 'node:http'
 import type * as net from 'node:net'
 
@@ -63,7 +63,7 @@
 
   /** Takes a new connection. Where there are too many, closes the one without a request that has stood still longest, or else the new one. */
   add (socket: net.Socket): void {
-    const answers = this.#memory.openAnswers(() => { this.close(socket, CloseReason.unreadAnswers) })
+    const answers = this.#memory.openAnswers(() => { this.close(socket, CloseReason.unreadAnswers) }, () => runtime.sentBytes.sentBytes(socket))
     const connection: Connection = { answers, requestsInProgress: 0, requestsPassedOn: 0, unstarted: [], closeListeners: new Set(), isPaused: false, mayBeLate: false }
     this.#connections.set(socket, connection)
     // Node's HTTP server resumes a socket at the end of each message.
@@ -200,7 +200,7 @@
     let sentBytes = -1
     const check = (): void => {
       const sentBefore = sentBytes
-      sentBytes = socket.bytesWritten - socket.writableLength
+      sentBytes = runtime.sentBytes.sentBytes(socket)
       if (socket.writableLength > 0 && sentBytes === sentBefore) this.#closeConnection()
       else timer = setTimeout(check, UNREAD_MS)
     }
--- a/packages/runtime/src/memory-account.ts
+++ b/packages/runtime/src/memory-account.ts
@@ -62,14 +62,24 @@
 export class AnswerHolding implements decisions.memoryYielding.HeldAnswers {
   readonly #account: MemoryAccount
   readonly close: () => void
+  readonly #sentBytes: () => number
+  #sentBefore = 0
   bytes = 0
   movedAt = 0
   isResumable = false
 
-  /** `close` closes the connection, which must release the bytes in time. */
-  constructor (account: MemoryAccount, close: () => void) {
+  /** `close` closes the connection, which must release the bytes in time; `sentBytes` returns how many its caller has taken so far. */
+  constructor (account: MemoryAccount, close: () => void, sentBytes: () => number) {
     this.#account = account
     this.close = close
+    this.#sentBytes = sentBytes
+  }
+
+  /** Takes note of whether the caller has read since this was last called. */
+  noteProgress (now: number): void {
+    const sent = this.#sentBytes()
+    if (sent !== this.#sentBefore) this.movedAt = now
+    this.#sentBefore = sent
   }
 
   /** More of the answer may be read from the target before the caller reads what waits. */
@@ -130,12 +140,13 @@
     return new BodyHolding(this, reader)
   }
 
-  openAnswers (close: () => void): AnswerHolding {
-    return new AnswerHolding(this, close)
+  openAnswers (close: () => void, sentBytes = (): number => 0): AnswerHolding {
+    return new AnswerHolding(this, close, sentBytes)
   }
 
   mayReadAhead (answers: AnswerHolding): boolean {
     const { clock, capacityBytes } = this.#options
+    answers.noteProgress(clock.now())
     return decisions.memoryYielding.mayReadAhead(answers, this.#heldBytes, capacityBytes, clock.now())
   }
 
@@ -148,12 +159,17 @@
     else this.#answers.delete(answers)
     const excessBytes = this.#heldBytes - this.#options.capacityBytes
     if (bytes <= 0 || excessBytes <= 0) return
-    this.#closeAnswers(decisions.memoryYielding.answersToClose([...this.#answers], excessBytes, this.#options.clock.now()))
+    this.#closeAnswers(decisions.memoryYielding.answersToClose(this.#heldAnswers(), excessBytes, this.#options.clock.now()))
   }
 
   /** Closes the connection whose caller has not read for longest, if one has not for long. */
   closeStillestAnswers (): void {
-    this.#closeAnswers(decisions.memoryYielding.stillHolders([...this.#answers], this.#options.clock.now()).slice(0, 1))
+    this.#closeAnswers(decisions.memoryYielding.stillHolders(this.#heldAnswers(), this.#options.clock.now()).slice(0, 1))
+  }
+
+  #heldAnswers (): AnswerHolding[] {
+    for (const answers of this.#answers) answers.noteProgress(this.#options.clock.now())
+    return [...this.#answers]
   }
 
   #closeAnswers (holders: AnswerHolding[]): void {
--- a/packages/runtime/test/memory-account.test.ts
+++ b/packages/runtime/test/memory-account.test.ts
@@ -71,6 +71,17 @@
     expect(account.answerBytes).to.equal(5 * MEGABYTE)
   })
 
+  it('closes the connection of a caller that has stopped to read, not of one that reads without a write being done', () => {
+    const sentBytes = { reading: 0, stopped: 1000 }
+    for (const name of ['reading', 'stopped'] as const) account.openAnswers(() => { seen.push(`${name} is closed`) }, () => sentBytes[name]).add(MEGABYTE)
+    account.closeStillestAnswers()
+    for (clock.milliseconds = 1000; clock.milliseconds <= 4000; clock.milliseconds += 1000) {
+      sentBytes.reading += 50_000
+      account.closeStillestAnswers()
+    }
+    expect(seen).to.deep.equal(['stopped is closed'])
+  })
+
   it('gives up ordinary bodies that stand still where a new one has no room', () => {
     for (let index = 0; index < 140; index += 1) body(`body ${index}`, 60_000, 5000)
     clock.milliseconds = 1000
