--- a/packages/decisions/src/connection-admission.ts
+++ b/packages/decisions/src/connection-admission.ts
@@ -10,14 +10,14 @@
 /** Most that one read delay counts, as a multiple of the threshold, so that a single long one is soon forgotten. */
 const COUNTED_THRESHOLDS = 4
 
-/** Shortest and longest time for which no connections are taken, in milliseconds. A caller's second try, a moment later, shall find the host open. */
+/** Shortest and longest time for which no connections are taken, in milliseconds. A caller's second try, a moment later, should find the host open. */
 const MINIMUM_PAUSE_MS = 50
 const MAXIMUM_PAUSE_MS = 100
 
 /** Factor by which a pause is longer than the one before it, if the host is saturated as soon as connections are taken again. */
 const PAUSE_GROWTH = 1.5
 
-/** Shortest time for which connections are taken between two pauses, in milliseconds. */
+/** Shortest time from the first connection that is taken after a pause to the next pause, in milliseconds. */
 const MINIMUM_OPEN_MS = 50
 
 /** Time without a pause after which the next one is short again, in milliseconds. */
--- a/packages/decisions/src/memory-yielding.ts
+++ b/packages/decisions/src/memory-yielding.ts
@@ -1,6 +1,6 @@
 const BYTES_PER_MEGABYTE = 1024 * 1024
 
-/** Memory that a process under load needs for itself, in megabytes: program 42, heap 30, native memory 25, read buffers until they are freed 23. */
+/** Memory that a process under load needs for itself, in megabytes, with read buffers that wait to be freed. */
 const OWN_MEGABYTES = 120
 
 /** Share of the rest that bodies and answers may occupy. Freed blocks are kept for a while, and small chunks cost more than their bytes. */
